--- /dev/null
+++ b/ctl/main.go
@@ -0,0 +1,4 @@
+// Command ctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,4 @@
+// Command measure runs the demo, the load and the measurements.
+package main
+
+func main() {}
--- /dev/null
+++ b/node/answer/http.go
@@ -0,0 +1,75 @@
+package answer
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Names of headers between nodes, callers and targets.
+const (
+	Prefix          = "Verbenapin-"
+	HeaderRun       = Prefix + "Run"
+	HeaderDeadline  = Prefix + "Deadline"
+	HeaderLoad      = Prefix + "Load"
+	HeaderAccount   = Prefix + "Account"
+	HeaderRoute     = Prefix + "Route"
+	HeaderKey       = Prefix + "Key"
+	HeaderVersion   = Prefix + "Version"
+	HeaderRequestID = "X-Request-Id"
+)
+
+// maxBody bounds the refusal that a node reads from another node.
+const maxBody = 4096
+
+type body struct {
+	Code  Code   `json:"code"`
+	Run   Run    `json:"run"`
+	After int64  `json:"after,omitempty"` // milliseconds
+	ID    string `json:"id,omitempty"`
+	Text  string `json:"text"`
+}
+
+// Write sends the refusal as JSON; id is the request id.
+func Write(w http.ResponseWriter, r Refusal, id string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	h.Set(HeaderRun, string(r.Run))
+	if r.After > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.After.Seconds()))))
+	}
+	if r.Code == Key {
+		h.Set("WWW-Authenticate", `Bearer realm="verbenapin"`)
+	}
+	w.WriteHeader(r.Status())
+	_ = json.NewEncoder(w).Encode(body{Code: r.Code, Run: r.Run, After: r.After.Milliseconds(), ID: id, Text: r.Text})
+}
+
+// Read returns the refusal in a response from another node, or false if the response comes from its target.
+// Only a node can set the mark, because each node removes it from what its target sends.
+func Read(res *http.Response) (Refusal, bool, error) {
+	run := Run(res.Header.Get(HeaderRun))
+	if run == "" {
+		return Refusal{}, false, nil
+	}
+	var b body
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxBody)).Decode(&b); err != nil {
+		return Refusal{}, true, fmt.Errorf("answer: reading a refusal: %w", err)
+	}
+	return Refusal{Code: b.Code, Run: run, After: time.Duration(b.After) * time.Millisecond, Text: b.Text}, true, nil
+}
+
+// StripInternal removes the headers that only nodes may set.
+func StripInternal(h http.Header) {
+	for name := range h {
+		if len(name) >= len(Prefix) && strings.EqualFold(name[:len(Prefix)], Prefix) {
+			delete(h, name)
+		}
+	}
+}
--- /dev/null
+++ b/node/answer/refusal_test.go
@@ -0,0 +1,36 @@
+package answer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRoundTrip guards against a refusal that changes between two nodes, and against a target that forges one.
+func TestRoundTrip(t *testing.T) {
+	cases := map[string]struct {
+		refusal Refusal
+		status  int
+	}{
+		"rate with a time": {refusal: NotRun(Rate, "beyond its rate").WithAfter(120 * time.Millisecond), status: 429},
+		"lost":             {refusal: MaybeRun(Lost, "connection broke"), status: 502},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			Write(w, tc.refusal, "id")
+			res := w.Result()
+			require.Equal(t, tc.status, res.StatusCode)
+			got, refused, err := Read(res)
+			require.NoError(t, err)
+			require.True(t, refused)
+			require.Equal(t, tc.refusal, got)
+		})
+	}
+	forged := http.Header{"Verbenapin-Run": {"no"}, "verbenapin-run": {"no"}, "Content-Type": {"text/plain"}}
+	StripInternal(forged)
+	require.Equal(t, http.Header{"Content-Type": {"text/plain"}}, forged)
+}
--- /dev/null
+++ b/node/clock/clock_test.go
@@ -0,0 +1,51 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+// TestMain guards against a ticker goroutine that outlives Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestManual guards against ticks that are skipped, run twice or run after Close.
+func TestManual(t *testing.T) {
+	cases := map[string]struct {
+		every, by time.Duration
+		want      int
+	}{
+		"none due":    {every: time.Second, by: 999 * time.Millisecond, want: 0},
+		"exactly due": {every: time.Second, by: time.Second, want: 1},
+		"several":     {every: 300 * time.Millisecond, by: time.Second, want: 3},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := NewManual(time.Unix(0, 0))
+			n := 0
+			s := m.Clock().Subscribe(tc.every, func(time.Time) { n++ })
+			m.Advance(tc.by)
+			require.Equal(t, tc.want, n)
+			s.Close()
+			m.Advance(tc.by)
+			require.Equal(t, tc.want, n)
+		})
+	}
+}
+
+// TestTicker guards against a Close that returns while a tick still runs.
+func TestTicker(t *testing.T) {
+	c := New()
+	ticked := make(chan struct{}, 1)
+	s := c.Subscribe(time.Millisecond, func(time.Time) {
+		select {
+		case ticked <- struct{}{}:
+		default:
+		}
+	})
+	<-ticked
+	s.Close()
+	s.Close()
+}
--- /dev/null
+++ b/node/config/tree.go
@@ -0,0 +1,163 @@
+// Package config holds the configuration: its tree, its versions, and their way from the configuration service to every node.
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Digest is the SHA-256 digest of a key; keys themselves are never stored.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a key.
+func DigestOf(key string) Digest {
+	return sha256.Sum256([]byte(key))
+}
+
+// Fleet holds the settings of the fleet as a whole.
+type Fleet struct {
+	Homes   []string // instances that hold account shares and read the configuration service
+	Retired []string // homes that the platform has terminated permanently
+	Out     []string // failure domains taken out
+}
+
+// Route tells which requests go to a service and how.
+type Route struct {
+	Name       string
+	Host       string
+	Path       string
+	Service    string
+	Open       bool
+	Idempotent bool
+	Deadline   time.Duration
+	Retries    float64 // share of calls
+	Hedge      float64 // share of calls
+	Probe      float64 // share of a target's time
+	Slots      int     // concurrent requests of a warm target
+	Conns      int     // connections to a target
+}
+
+// Account is a client account with its fleet-wide limits.
+type Account struct {
+	Name   string
+	Rate   float64 // requests per second
+	Burst  float64 // requests
+	Keys   []Digest
+	Routes []string
+}
+
+// Allows tells whether the account may use the route.
+func (a Account) Allows(route string) bool {
+	return slices.Contains(a.Routes, route)
+}
+
+// Tree is one version of the configuration with all inheritance resolved; it never changes.
+type Tree struct {
+	version  int64
+	fleet    Fleet
+	routes   map[string]Route
+	hosts    map[string][]Route
+	accounts map[string]Account
+	keys     []keyEntry
+}
+
+type keyEntry struct {
+	digest  Digest
+	account string
+}
+
+// NewTree returns a tree of routes and accounts; names and keys must be unique.
+func NewTree(version int64, fleet Fleet, routes []Route, accounts []Account) Tree {
+	t := Tree{
+		version:  version,
+		fleet:    fleet,
+		routes:   make(map[string]Route, len(routes)),
+		hosts:    map[string][]Route{},
+		accounts: make(map[string]Account, len(accounts)),
+	}
+	for _, r := range routes {
+		t.routes[r.Name] = r
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, rs := range t.hosts {
+		slices.SortFunc(rs, func(a, b Route) int { return len(b.Path) - len(a.Path) })
+	}
+	for _, a := range accounts {
+		t.accounts[a.Name] = a
+		for _, d := range a.Keys {
+			t.keys = append(t.keys, keyEntry{digest: d, account: a.Name})
+		}
+	}
+	slices.SortFunc(t.keys, func(a, b keyEntry) int { return slices.Compare(a.digest[:], b.digest[:]) })
+	return t
+}
+
+// Version returns the number of the version.
+func (t Tree) Version() int64 { return t.version }
+
+// Fleet returns the settings of the fleet as a whole.
+func (t Tree) Fleet() Fleet { return t.fleet }
+
+// IsOut tells whether a failure domain is taken out.
+func (t Tree) IsOut(domain string) bool { return slices.Contains(t.fleet.Out, domain) }
+
+// Route returns the route with the given name.
+func (t Tree) Route(name string) (Route, bool) {
+	r, ok := t.routes[name]
+	return r, ok
+}
+
+// Account returns the account with the given name.
+func (t Tree) Account(name string) (Account, bool) {
+	a, ok := t.accounts[name]
+	return a, ok
+}
+
+// Routes returns all routes in the order of their names.
+func (t Tree) Routes() []Route {
+	rs := make([]Route, 0, len(t.routes))
+	for _, r := range t.routes {
+		rs = append(rs, r)
+	}
+	slices.SortFunc(rs, func(a, b Route) int { return strings.Compare(a.Name, b.Name) })
+	return rs
+}
+
+// Accounts returns all accounts in the order of their names.
+func (t Tree) Accounts() []Account {
+	as := make([]Account, 0, len(t.accounts))
+	for _, a := range t.accounts {
+		as = append(as, a)
+	}
+	slices.SortFunc(as, func(a, b Account) int { return strings.Compare(a.Name, b.Name) })
+	return as
+}
+
+// Match returns the route with the longest path prefix, in whole segments, under the host.
+func (t Tree) Match(host, path string) (Route, bool) {
+	for _, r := range t.hosts[host] {
+		if hasPrefix(path, r.Path) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+func hasPrefix(path, prefix string) bool {
+	prefix = strings.TrimSuffix(prefix, "/")
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+// Authenticate returns the account of a key digest.
+// Digests are uniformly distributed, so the search by prefix reveals nothing about a key; the match itself takes constant time.
+func (t Tree) Authenticate(d Digest) (Account, bool) {
+	i, _ := slices.BinarySearchFunc(t.keys, d, func(e keyEntry, d Digest) int { return slices.Compare(e.digest[:], d[:]) })
+	if i == len(t.keys) || subtle.ConstantTimeCompare(t.keys[i].digest[:], d[:]) != 1 {
+		return Account{}, false
+	}
+	return t.Account(t.keys[i].account)
+}
--- /dev/null
+++ b/node/loop/loop_test.go
@@ -0,0 +1,51 @@
+package loop
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+// TestMain guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestCall guards against an event that is lost, or whose failure its caller does not see.
+func TestCall(t *testing.T) {
+	cases := map[string]struct {
+		event Event
+		want  error
+	}{
+		"runs":   {event: func(time.Time) {}},
+		"panics": {event: func(time.Time) { panic("broken") }, want: PanicError{Value: "broken"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := New(time.Now)
+			served := make(chan error, 1)
+			go func() { served <- l.Serve(context.Background()) }()
+			require.Equal(t, tc.want, l.Call(context.Background(), tc.event))
+			l.Close()
+			require.Equal(t, tc.want, <-served)
+			require.ErrorIs(t, l.Post(context.Background(), tc.event), ClosedError{})
+		})
+	}
+}
+
+// TestServeAgain guards against events that are lost when a supervisor restarts the loop after a panic.
+func TestServeAgain(t *testing.T) {
+	l := New(time.Now)
+	defer l.Close()
+	ctx := context.Background()
+	ran := false
+	require.NoError(t, l.Post(ctx, func(time.Time) { panic("broken") }))
+	require.NoError(t, l.Post(ctx, func(time.Time) { ran = true }))
+	var failed PanicError
+	require.True(t, errors.As(l.Serve(ctx), &failed))
+	go func() { _ = l.Serve(ctx) }()
+	require.NoError(t, l.Call(ctx, func(time.Time) {}))
+	require.True(t, ran)
+}
--- /dev/null
+++ b/node/target/load.go
@@ -0,0 +1,33 @@
+// Package target is the side of a node that faces its target: admission, queueing, probes and warm connections.
+package target
+
+import (
+	"fmt"
+	"time"
+)
+
+// Load is what the gate beside a target reports on each response and refusal.
+type Load struct {
+	Running int
+	Queued  int
+	Limit   int           // concurrent requests that the target has capacity for
+	Service time.Duration // recent mean service time
+	Failing float64       // share of recent responses that failed
+	Leaving bool
+}
+
+// String returns the text form of the report.
+func (l Load) String() string {
+	return fmt.Sprintf("%d %d %d %d %.3f %t", l.Running, l.Queued, l.Limit, l.Service.Microseconds(), l.Failing, l.Leaving)
+}
+
+// ParseLoad reads the text form of a report.
+func ParseLoad(s string) (Load, error) {
+	var l Load
+	var us int64
+	if _, err := fmt.Sscanf(s, "%d %d %d %d %f %t", &l.Running, &l.Queued, &l.Limit, &us, &l.Failing, &l.Leaving); err != nil {
+		return Load{}, fmt.Errorf("target: reading a load report: %w", err)
+	}
+	l.Service = time.Duration(us) * time.Microsecond
+	return l, nil
+}
