Add the request path between caller, node and target

Change: ingress checks, attempt plan, HTTP/2 hop with mutual TLS, bounded response buffer, HTTP/1 transport to the target that counts written bytes. Conclusion: not run is stated only where no byte of the request was written.

--- /dev/null
+++ b/node/caller/attempt.go
@@ -0,0 +1,148 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/target"
+)
+
+// replaySize bounds the request body that is held so that another target can get it after a refusal.
+const replaySize = 64 << 10
+
+// attempt offers the request to targets until one answers or no further attempt is allowed.
+func (s *Server) attempt(q request) (target.Reply, error) {
+	body, err := readAhead(q.Request)
+	if err != nil {
+		return target.Reply{}, answer.NotRun(answer.Path, "the request body broke off")
+	}
+	deadline := deadlineOf(q)
+	state := q.Header.Get("Tracestate")
+	var tried []string
+	for {
+		call := target.Call{Request: body.next(q.Request), Route: q.route.Name, Account: q.account, Key: q.key, Deadline: deadline}
+		if len(tried) > 0 {
+			call.Request.Header.Set("Tracestate", MarkRetried(state))
+		}
+		name, reply, err := s.tries.Try(call, q.route.Service, tried)
+		if err == nil && (reply.Response.StatusCode != http.StatusServiceUnavailable || !q.route.Idempotent) {
+			return reply, nil
+		}
+		failed := Attempt{Run: answer.RunMaybe, Idempotent: q.route.Idempotent, Retrying: IsRetried(state)}
+		var refused answer.Refusal
+		if errors.As(err, &refused) {
+			failed.Run, failed.Code = refused.Run, refused.Code
+		}
+		tried = append(tried, name)
+		failed.Number, failed.Replayable, failed.Remaining = len(tried), body.replayable(), deadline.Sub(s.now())
+		if name == "" || !s.mayRetry(q, failed) {
+			return reply, err
+		}
+		if reply.Response != nil {
+			_ = reply.Response.Body.Close()
+		}
+	}
+}
+
+// mayRetry applies the plan and the budget.
+func (s *Server) mayRetry(q request, failed Attempt) bool {
+	allowed, paid := MayRetry(failed)
+	if !allowed || q.Context().Err() != nil || (paid && !s.tries.Retry(q.route)) {
+		return false
+	}
+	if s.events.Retried != nil {
+		s.events.Retried(q.route.Name)
+	}
+	return true
+}
+
+// replay is a request body that may be sent more than once.
+type replay struct {
+	held   []byte
+	stream *stream // nil if the whole body is held
+}
+
+// stream is a body that only one attempt may read.
+type stream struct {
+	source io.ReadCloser
+	mu     sync.Mutex
+	reader *streamReader // the attempt that may read
+	read   bool
+}
+
+// streamReader is one attempt's view of a stream.
+type streamReader struct{ stream *stream }
+
+// DetachedError reports that a body was read by an attempt that had already ended.
+type DetachedError struct{}
+
+func (DetachedError) Error() string { return "caller: body belongs to another attempt" }
+
+func (r *streamReader) Read(p []byte) (int, error) {
+	s := r.stream
+	s.mu.Lock()
+	if s.reader != r {
+		s.mu.Unlock()
+		return 0, DetachedError{}
+	}
+	s.read = true
+	s.mu.Unlock()
+	return s.source.Read(p)
+}
+
+// Close leaves the source open; the server closes it when the handler returns.
+func (r *streamReader) Close() error { return nil }
+
+// attach gives the stream to a new attempt.
+func (s *stream) attach() *streamReader {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reader = &streamReader{stream: s}
+	return s.reader
+}
+
+// detach ends the attempt's use of the stream and tells whether it left the stream unread.
+func (s *stream) detach() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reader = nil
+	return !s.read
+}
+
+// readAhead holds a short body of known length. Longer bodies, and those that wait for 100 Continue, are read
+// only once a target's node has admitted the request.
+func readAhead(r *http.Request) (replay, error) {
+	if target.IsEmpty(r) {
+		return replay{}, nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > replaySize || r.Header.Get("Expect") != "" {
+		return replay{stream: &stream{source: r.Body}}, nil
+	}
+	held := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, held); err != nil {
+		return replay{}, err
+	}
+	return replay{held: held}, nil
+}
+
+// replayable ends the last attempt's use of the body and tells whether it can be sent from its beginning.
+func (b replay) replayable() bool { return b.stream == nil || b.stream.detach() }
+
+// next returns the request for the next attempt.
+func (b replay) next(r *http.Request) *http.Request {
+	out := r.Clone(r.Context())
+	switch {
+	case b.stream != nil:
+		out.Body = b.stream.attach()
+		out.Header.Set("Expect", "100-continue")
+	case b.held != nil:
+		out.Body = io.NopCloser(bytes.NewReader(b.held))
+	default:
+		out.Body, out.ContentLength = http.NoBody, 0
+	}
+	return out
+}
--- /dev/null
+++ b/node/caller/plan.go
@@ -0,0 +1,70 @@
+package caller
+
+import (
+	"strings"
+	"time"
+
+	"verbenapin.dev/node/answer"
+)
+
+// maxAttempts bounds the targets that one request is offered to.
+const maxAttempts = 3
+
+// minRemaining is the time below which another attempt cannot end before the deadline.
+const minRemaining = 2 * time.Millisecond
+
+// Attempt describes a failed attempt.
+type Attempt struct {
+	Run        answer.Run
+	Code       answer.Code
+	Number     int // attempts so far
+	Idempotent bool
+	Retrying   bool // a node higher in the call chain is already retrying
+	Replayable bool // the body can be sent again
+	Remaining  time.Duration
+}
+
+// MayRetry tells whether another attempt is allowed, and whether it must be paid from the retry budget.
+// An attempt that did not run adds no load to a target, so it needs no budget.
+func MayRetry(a Attempt) (allowed, paid bool) {
+	switch {
+	case a.Number >= maxAttempts, !a.Replayable, a.Remaining < minRemaining:
+		return false, false
+	case a.Code == answer.Late, a.Code == answer.Key:
+		return false, false
+	case a.Run == answer.RunNo:
+		return true, false
+	default:
+		return a.Idempotent && !a.Retrying, true
+	}
+}
+
+const (
+	stateKey  = "verbenapin"
+	stateMark = stateKey + "=r"
+)
+
+// IsRetried tells whether a trace state says that the request is a repeated attempt.
+func IsRetried(state string) bool {
+	for member := range strings.SplitSeq(state, ",") {
+		if strings.TrimSpace(member) == stateMark {
+			return true
+		}
+	}
+	return false
+}
+
+// MarkRetried returns the trace state with the mark of a repeated attempt in front, as W3C trace context asks.
+func MarkRetried(state string) string {
+	members := []string{stateMark}
+	for member := range strings.SplitSeq(state, ",") {
+		member = strings.TrimSpace(member)
+		if member != "" && !strings.HasPrefix(member, stateKey+"=") {
+			members = append(members, member)
+		}
+	}
+	return strings.Join(members[:min(len(members), maxMembers)], ",")
+}
+
+// maxMembers is the number of members that W3C trace context allows in a trace state.
+const maxMembers = 32
--- /dev/null
+++ b/node/caller/server.go
@@ -0,0 +1,250 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/target"
+)
+
+const (
+	headTimeout  = 10 * time.Second
+	idleTimeout  = 2 * time.Minute
+	maxHeadBytes = 64 << 10
+	maxID        = 64
+)
+
+// Tries is one request's way through the targets of its service.
+type Tries struct {
+	// Try sends an attempt to a target that is not in tried and returns its name.
+	Try func(call target.Call, service string, tried []string) (string, target.Reply, error)
+	// Retry takes one paid retry of the route from the budget.
+	Retry func(route config.Route) bool
+}
+
+// Events are called for what operators count; each may be nil.
+type Events struct {
+	Answered func(route, account string, status int, took time.Duration)
+	Refused  func(route, account, id string, r answer.Refusal)
+	Retried  func(route string)
+}
+
+// Server accepts the requests of callers.
+type Server struct {
+	http    *http.Server
+	now     func() time.Time
+	tree    func() (config.Tree, error)
+	spend   func(ctx context.Context, account string) (func(), error)
+	tries   Tries
+	events  Events
+	leaving atomic.Bool
+}
+
+// NewServer returns a server. tree returns the configuration in force or a refusal, spend takes one request
+// from an account's allowance and returns the function that gives it back.
+func NewServer(
+	now func() time.Time,
+	tree func() (config.Tree, error),
+	spend func(ctx context.Context, account string) (func(), error),
+	tries Tries,
+	events Events,
+) *Server {
+	s := &Server{now: now, tree: tree, spend: spend, tries: tries, events: events}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s.http = &http.Server{
+		Handler:           http.HandlerFunc(s.serve),
+		Protocols:         protocols,
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeadBytes,
+	}
+	return s
+}
+
+// Serve accepts connections on l until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Leave makes every response ask its caller to close the connection; requests are still answered.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Shutdown waits for running requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Close ends all connections.
+func (s *Server) Close() { _ = s.http.Close() }
+
+// request is one caller's request with what was found out about it.
+type request struct {
+	*http.Request
+	id      string
+	route   config.Route
+	account string
+	key     config.Digest
+	begun   time.Time
+	refund  func()
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := request{Request: r, id: requestID(r.Header), begun: s.now(), refund: func() {}}
+	w.Header().Set(answer.HeaderRequestID, q.id)
+	q, err := s.admit(q)
+	if err != nil {
+		s.refuse(w, q, err)
+		return
+	}
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), answer.Informational(w)))
+	defer cancel()
+	q.Request = s.outgoing(ctx, q)
+	reply, err := s.attempt(q)
+	if err != nil {
+		s.refuse(w, q, err)
+		return
+	}
+	status := reply.Response.StatusCode
+	if err := answer.Relay(w, reply.Response); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if s.events.Answered != nil {
+		s.events.Answered(q.route.Name, q.account, status, s.now().Sub(q.begun))
+	}
+}
+
+// admit applies the rules of configuration, keys and rates to a request.
+func (s *Server) admit(q request) (request, error) {
+	host, path, err := Clean(q.Host, rawPath(q.Request))
+	if err != nil {
+		return q, answer.NotRun(answer.Path, err.Error())
+	}
+	tree, err := s.tree()
+	if err != nil {
+		return q, err
+	}
+	route, ok := tree.Match(host, path)
+	if !ok {
+		return q, answer.NotRun(answer.Route, "no route matches host and path")
+	}
+	q.route = route
+	if route.Open {
+		return q, nil
+	}
+	key := keyOf(q.Header)
+	if key == "" {
+		return q, answer.NotRun(answer.Key, "the route needs a key")
+	}
+	q.key = config.DigestOf(key)
+	account, ok := tree.Authenticate(q.key)
+	if !ok {
+		return q, answer.NotRun(answer.Key, "the key is unknown or was revoked")
+	}
+	q.account = account.Name
+	if !account.Allows(route.Name) {
+		return q, answer.NotRun(answer.Scope, "the account may not use the route")
+	}
+	refund, err := s.spend(q.Context(), account.Name)
+	if err != nil {
+		return q, err
+	}
+	q.refund = refund
+	return q, nil
+}
+
+// outgoing returns the request as targets may see it.
+func (s *Server) outgoing(ctx context.Context, q request) *http.Request {
+	out := q.Clone(ctx)
+	deadline := out.Header.Get(answer.HeaderDeadline)
+	answer.StripInternal(out.Header)
+	answer.StripHop(out.Header)
+	out.Header.Del("X-Api-Key")
+	out.Header.Del("Authorization")
+	if deadline != "" {
+		out.Header.Set(answer.HeaderDeadline, deadline)
+	}
+	out.Header.Set(answer.HeaderRequestID, q.id)
+	if out.Header.Get("Traceparent") == "" {
+		out.Header.Set("Traceparent", "00-"+randomHex(16)+"-"+randomHex(8)+"-00")
+	}
+	return out
+}
+
+func (s *Server) refuse(w http.ResponseWriter, q request, err error) {
+	var refused answer.Refusal
+	if !errors.As(err, &refused) {
+		refused = answer.MaybeRun(answer.Lost, err.Error())
+	}
+	if refused.Run == answer.RunNo {
+		q.refund()
+	}
+	if s.events.Refused != nil {
+		s.events.Refused(q.route.Name, q.account, q.id, refused)
+	}
+	answer.Write(w, refused, q.id)
+}
+
+// rawPath returns the path as it was received.
+func rawPath(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		path, _, _ := strings.Cut(r.RequestURI, "?")
+		return path
+	}
+	return r.URL.EscapedPath()
+}
+
+func keyOf(h http.Header) string {
+	if key := h.Get("X-Api-Key"); key != "" {
+		return key
+	}
+	scheme, key, _ := strings.Cut(h.Get("Authorization"), " ")
+	if strings.EqualFold(scheme, "Bearer") {
+		return strings.TrimSpace(key)
+	}
+	return ""
+}
+
+func requestID(h http.Header) string {
+	id := h.Get(answer.HeaderRequestID)
+	if id == "" || len(id) > maxID || strings.ContainsFunc(id, isNotIDRune) {
+		return randomHex(8)
+	}
+	return id
+}
+
+func isNotIDRune(c rune) bool {
+	return !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_' || c == '.')
+}
+
+func randomHex(n int) string {
+	b := make([]byte, n)
+	_, _ = rand.Read(b) // never fails since Go 1.24
+	return hex.EncodeToString(b)
+}
+
+// deadlineOf returns the route's deadline, or the caller's if it is earlier.
+func deadlineOf(q request) time.Time {
+	limit := q.route.Deadline
+	if ms, err := strconv.ParseFloat(q.Header.Get(answer.HeaderDeadline), 64); err == nil && ms < limit.Seconds()*1000 {
+		limit = time.Duration(ms * float64(time.Millisecond))
+	}
+	return q.begun.Add(limit)
+}
--- /dev/null
+++ b/node/peer/client.go
@@ -0,0 +1,126 @@
+// Package peer is the side of a node that faces other nodes: choice of target, retries and the requests between nodes.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/target"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	idleTimeout = 90 * time.Second
+	// pingAfter and pingTimeout find a paused or unreachable node within 2 s.
+	pingAfter   = time.Second
+	pingTimeout = time.Second
+	// continueTimeout exceeds the longest wait in a gate's queue, so that a body is sent only after admission.
+	continueTimeout = time.Second
+	streamBuffer    = 256 << 10
+	connBuffer      = 1 << 20
+	maxHeadBytes    = 80 << 10
+)
+
+// UnknownError reports an instance whose address is not known.
+type UnknownError struct{ Name string }
+
+func (e UnknownError) Error() string { return fmt.Sprintf("peer: no address of instance %s", e.Name) }
+
+// Client sends requests to other nodes; it never repeats one by itself.
+type Client struct {
+	http *http.Transport
+	now  func() time.Time
+}
+
+// NewClient returns a client; address tells where an instance accepts requests of other nodes.
+func NewClient(now func() time.Time, cfg *tls.Config, address func(name string) (string, bool)) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(true)
+	return &Client{now: now, http: &http.Transport{
+		DialContext: func(ctx context.Context, network, hostport string) (net.Conn, error) {
+			name, _, err := net.SplitHostPort(hostport)
+			if err != nil {
+				return nil, fmt.Errorf("peer: reading an address: %w", err)
+			}
+			addr, ok := address(name)
+			if !ok {
+				return nil, UnknownError{Name: name}
+			}
+			return dialer.DialContext(ctx, network, addr)
+		},
+		TLSClientConfig:        cfg,
+		TLSHandshakeTimeout:    dialTimeout,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		ExpectContinueTimeout:  continueTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxReceiveBufferPerStream:     streamBuffer,
+			MaxReceiveBufferPerConnection: connBuffer,
+			SendPingTimeout:               pingAfter,
+			PingTimeout:                   pingTimeout,
+		},
+	}}
+}
+
+// Do sends one attempt to the node of instance name. Its error is an answer.Refusal.
+func (c *Client) Do(name string, call target.Call) (target.Reply, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	out := call.Request.Clone(httptrace.WithClientTrace(call.Request.Context(), trace))
+	out.RequestURI = ""
+	out.URL = &url.URL{
+		Scheme: "https", Host: name,
+		Path: call.Request.URL.Path, RawPath: call.Request.URL.RawPath,
+		RawQuery: call.Request.URL.RawQuery, ForceQuery: call.Request.URL.ForceQuery,
+	}
+	encode(out.Header, call, c.now())
+	target.PreventResend(out)
+	res, err := c.http.RoundTrip(out)
+	if err != nil {
+		return target.Reply{}, refusal(err, connected.Load())
+	}
+	return reply(res)
+}
+
+// refusal tells whether a failed attempt can have run: without a connection no byte was sent.
+func refusal(err error, connected bool) answer.Refusal {
+	if !connected {
+		return answer.NotRun(answer.Busy, fmt.Sprintf("no connection to the target's node: %v", err))
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return answer.MaybeRun(answer.Late, "deadline passed while the request was running")
+	}
+	return answer.MaybeRun(answer.Lost, fmt.Sprintf("connection to the target's node broke: %v", err))
+}
+
+func reply(res *http.Response) (target.Reply, error) {
+	r := target.Reply{}
+	if load, err := target.ParseLoad(res.Header.Get(answer.HeaderLoad)); err == nil {
+		r.Load, r.Reported = load, true
+	}
+	refused, ok, err := answer.Read(res)
+	if !ok {
+		r.Response = res
+		return r, nil
+	}
+	_ = res.Body.Close()
+	if err != nil {
+		return r, answer.MaybeRun(answer.Lost, fmt.Sprintf("unreadable refusal: %v", err))
+	}
+	return r, refused
+}
+
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/node/peer/message.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/target"
+)
+
+// headerLength marks a request without body: HTTP/2 cannot tell an empty body of unknown length from none.
+const headerLength = answer.Prefix + "Length"
+
+// MessageError reports a request between nodes that is malformed.
+type MessageError struct{ Header, Value string }
+
+func (e MessageError) Error() string {
+	return fmt.Sprintf("peer: header %s has the invalid value %q", e.Header, e.Value)
+}
+
+// encode writes the attributes of c into h.
+func encode(h http.Header, c target.Call, now time.Time) {
+	h.Set(answer.HeaderRoute, c.Route)
+	h.Set(answer.HeaderDeadline, strconv.FormatFloat(float64(c.Deadline.Sub(now))/float64(time.Millisecond), 'f', 3, 64))
+	if c.Account != "" {
+		h.Set(answer.HeaderAccount, c.Account)
+		h.Set(answer.HeaderKey, hex.EncodeToString(c.Key[:]))
+	}
+	if target.IsEmpty(c.Request) {
+		h.Set(headerLength, "0")
+	}
+}
+
+// decode reads the attributes of a request from another node and removes them from its headers.
+func decode(r *http.Request, now time.Time) (target.Call, error) {
+	h := r.Header
+	c := target.Call{Request: r, Route: h.Get(answer.HeaderRoute), Account: h.Get(answer.HeaderAccount)}
+	if c.Route == "" {
+		return target.Call{}, MessageError{Header: answer.HeaderRoute}
+	}
+	ms, err := strconv.ParseFloat(h.Get(answer.HeaderDeadline), 64)
+	if err != nil || !(ms >= -maxDeadlineMS && ms <= maxDeadlineMS) {
+		return target.Call{}, MessageError{Header: answer.HeaderDeadline, Value: h.Get(answer.HeaderDeadline)}
+	}
+	c.Deadline = now.Add(time.Duration(ms * float64(time.Millisecond)))
+	if c.Account != "" {
+		key, err := hex.DecodeString(h.Get(answer.HeaderKey))
+		if err != nil || len(key) != len(config.Digest{}) {
+			return target.Call{}, MessageError{Header: answer.HeaderKey, Value: h.Get(answer.HeaderKey)}
+		}
+		copy(c.Key[:], key)
+	}
+	if h.Get(headerLength) == "0" {
+		r.Body, r.ContentLength = http.NoBody, 0
+	}
+	answer.StripInternal(h)
+	return c, nil
+}
+
+// maxDeadlineMS bounds the deadline that another node may send, in milliseconds.
+const maxDeadlineMS = 24 * 3600 * 1000
--- /dev/null
+++ b/node/peer/server.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/target"
+)
+
+const (
+	headTimeout = 5 * time.Second
+	maxStreams  = 1000
+)
+
+// Server accepts the requests of other nodes and hands them to the gate of this node's target.
+type Server struct {
+	http *http.Server
+	now  func() time.Time
+	do   func(target.Call) (target.Reply, error)
+	load func() target.Load
+}
+
+// NewServer returns a server; do admits and runs an attempt, load reports the state of the gate.
+func NewServer(now func() time.Time, cfg *tls.Config, do func(target.Call) (target.Reply, error), load func() target.Load) *Server {
+	s := &Server{now: now, do: do, load: load}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(true)
+	s.http = &http.Server{
+		Handler:           http.HandlerFunc(s.serve),
+		TLSConfig:         cfg,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headTimeout,
+		MaxHeaderBytes:    maxHeadBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerStream:     streamBuffer,
+			MaxReceiveBufferPerConnection: connBuffer,
+		},
+	}
+	return s
+}
+
+// Serve accepts connections on l until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.ServeTLS(l, "", "")
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown waits for running requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Close ends all connections.
+func (s *Server) Close() { _ = s.http.Close() }
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	call, err := decode(r, s.now())
+	if err != nil {
+		s.refuse(w, answer.NotRun(answer.Path, err.Error()))
+		return
+	}
+	ctx := httptrace.WithClientTrace(r.Context(), answer.Informational(w))
+	call.Request = r.WithContext(ctx)
+	reply, err := s.do(call)
+	if err != nil {
+		var refused answer.Refusal
+		if !errors.As(err, &refused) {
+			refused = answer.MaybeRun(answer.Lost, err.Error())
+		}
+		s.refuse(w, refused)
+		return
+	}
+	w.Header().Set(answer.HeaderLoad, s.load().String())
+	if err := answer.Relay(w, reply.Response); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) refuse(w http.ResponseWriter, r answer.Refusal) {
+	w.Header().Set(answer.HeaderLoad, s.load().String())
+	answer.Write(w, r, "")
+}
--- /dev/null
+++ b/node/target/server.go
@@ -0,0 +1,137 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/config"
+)
+
+// Server runs the attempts that the gate admits.
+type Server struct {
+	now  func() time.Time
+	tree func() (config.Tree, error)
+	// admit waits until the gate starts the ticket; the returned function reports the outcome.
+	admit     func(ctx context.Context, t Ticket, route config.Route) (func(Outcome), error)
+	load      func() Load
+	roundTrip func(*http.Request) (*http.Response, error)
+}
+
+// NewServer returns a server on top of a gate and a transport.
+func NewServer(
+	now func() time.Time,
+	tree func() (config.Tree, error),
+	admit func(ctx context.Context, t Ticket, route config.Route) (func(Outcome), error),
+	load func() Load,
+	roundTrip func(*http.Request) (*http.Response, error),
+) *Server {
+	return &Server{now: now, tree: tree, admit: admit, load: load, roundTrip: roundTrip}
+}
+
+// Do admits and runs an attempt. Its error is an answer.Refusal; the response's body must be closed.
+func (s *Server) Do(c Call) (Reply, error) {
+	route, err := s.check(c)
+	if err != nil {
+		return Reply{Load: s.load(), Reported: true}, err
+	}
+	finish, err := s.admit(c.Request.Context(), Ticket{Account: c.Account, Deadline: c.Deadline}, route)
+	if err != nil {
+		return Reply{Load: s.load(), Reported: true}, err
+	}
+	res, err := s.run(c, finish)
+	return Reply{Response: res, Load: s.load(), Reported: true}, err
+}
+
+// check applies the rules of this node's own configuration, which may be newer than the sender's.
+func (s *Server) check(c Call) (config.Route, error) {
+	tree, err := s.tree()
+	if err != nil {
+		return config.Route{}, err
+	}
+	route, ok := tree.Route(c.Route)
+	if !ok {
+		return config.Route{}, answer.NotRun(answer.Route, "the target's node has no such route")
+	}
+	if route.Open {
+		return route, nil
+	}
+	account, ok := tree.Authenticate(c.Key)
+	if !ok || account.Name != c.Account {
+		return config.Route{}, answer.NotRun(answer.Key, "the key is unknown or was revoked")
+	}
+	if !account.Allows(route.Name) {
+		return config.Route{}, answer.NotRun(answer.Scope, "the account may not use the route")
+	}
+	return route, nil
+}
+
+// run sends the request to the target and returns its response, whose body is read ahead.
+// The deadline covers the time until the head of the response; a long body may take longer.
+func (s *Server) run(c Call, finish func(Outcome)) (*http.Response, error) {
+	begun := s.now()
+	ctx, cancel := context.WithCancelCause(c.Request.Context())
+	timer := time.AfterFunc(c.Deadline.Sub(begun), func() { cancel(context.DeadlineExceeded) })
+	out := c.Request.WithContext(ctx)
+	out.Header = c.Request.Header.Clone()
+	out.Header.Del("Expect") // the body was held back for the gate, which has now admitted it
+	out.Header.Set(answer.HeaderDeadline, strconv.FormatInt(max(0, c.Deadline.Sub(begun).Milliseconds()), 10))
+	res, err := s.roundTrip(out)
+	took := s.now().Sub(begun)
+	late := !timer.Stop() && errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+	if err != nil {
+		defer cancel(nil)
+		return nil, failed(c.Request.Context(), err, late, took, finish)
+	}
+	answer.StripInternal(res.Header)
+	kind := kindOf(res.StatusCode)
+	res.Body = newBuffered(res.Body, func() { cancel(nil) }, func(err error) {
+		outcome := Outcome{Kind: kind, Latency: took}
+		if err != nil && c.Request.Context().Err() == nil {
+			outcome.Kind = Lost
+		}
+		finish(outcome)
+		cancel(nil)
+	})
+	return res, nil
+}
+
+// failed reports an attempt without response to the gate and returns the refusal.
+func failed(ctx context.Context, err error, late bool, took time.Duration, finish func(Outcome)) error {
+	var sent SendError
+	if !errors.As(err, &sent) {
+		sent = SendError{Err: err, Wrote: true}
+	}
+	outcome := Outcome{Kind: Lost, Latency: took}
+	defer func() { finish(outcome) }()
+	switch {
+	case ctx.Err() != nil:
+		outcome.Kind = Cancelled
+	case late:
+		if sent.Wrote {
+			return answer.MaybeRun(answer.Late, "deadline passed while the request was running")
+		}
+		return answer.NotRun(answer.Late, "deadline passed before the request was sent")
+	case !sent.Wrote:
+		if sent.Refused {
+			outcome.Kind = Refused
+		}
+		return answer.NotRun(answer.Busy, fmt.Sprintf("target cannot be reached: %v", sent.Err))
+	}
+	return answer.MaybeRun(answer.Lost, fmt.Sprintf("connection to the target broke: %v", sent.Err))
+}
+
+func kindOf(status int) Kind {
+	switch {
+	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
+		return Shed
+	case status >= http.StatusInternalServerError:
+		return Failed
+	default:
+		return Good
+	}
+}
--- /dev/null
+++ b/node/target/transport.go
@@ -0,0 +1,128 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	// idleTimeout closes an unused connection before a target with the customary 60 s keep-alive does,
+	// because a request that meets such a close may have run and cannot be repeated.
+	idleTimeout = 20 * time.Second
+	// continueTimeout bounds the wait for a target that ignores Expect: 100-continue.
+	continueTimeout = time.Second
+	maxHeadBytes    = 64 << 10
+)
+
+// SendError reports a request that got no response from the target.
+type SendError struct {
+	Err     error
+	Wrote   bool // at least one byte was written to the target
+	Refused bool // the target refused the connection
+}
+
+func (e SendError) Error() string { return fmt.Sprintf("target: no response: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e SendError) Unwrap() error { return e.Err }
+
+// countingConn counts the bytes written, to tell whether a failed request can have run.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// Transport sends requests to the target over warm connections and never repeats one.
+type Transport struct {
+	base *url.URL
+	http *http.Transport
+}
+
+// NewTransport returns a transport to the target at base with at most conns connections.
+func NewTransport(base *url.URL, conns int) *Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Transport{base: base, http: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: c}, nil
+		},
+		DisableCompression:     true,
+		MaxConnsPerHost:        conns,
+		MaxIdleConnsPerHost:    conns,
+		IdleConnTimeout:        idleTimeout,
+		ExpectContinueTimeout:  continueTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}}
+}
+
+// RoundTrip sends one request; its error is a SendError.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn *countingConn
+	var before int64
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*countingConn); ok {
+			conn, before = c, c.written.Load()
+		}
+	}}
+	out := r.Clone(httptrace.WithClientTrace(r.Context(), trace))
+	out.URL.Scheme, out.URL.Host = t.base.Scheme, t.base.Host
+	out.RequestURI = ""
+	PreventResend(out)
+	res, err := t.http.RoundTrip(out)
+	if err != nil {
+		wrote := conn != nil && conn.written.Load() != before
+		return nil, SendError{Err: err, Wrote: wrote, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+	}
+	return res, nil
+}
+
+// Close closes the connections that are not in use.
+func (t *Transport) Close() { t.http.CloseIdleConnections() }
+
+// emptyBody is an empty body that the library cannot tell from one that it could not send again.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
+// PreventResend keeps net/http from sending a request again by itself after a broken connection.
+// The library repeats a request without body, or with GetBody, if its method is safe or it carries an
+// idempotency key under the canonical name; header names are case-insensitive on the wire.
+func PreventResend(r *http.Request) {
+	r.GetBody = nil
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, ok := r.Header[name]; ok {
+			delete(r.Header, name)
+			r.Header[lowerName[name]] = values
+		}
+	}
+	if r.Body != nil && r.Body != http.NoBody {
+		return
+	}
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		r.Body, r.ContentLength = emptyBody{}, 0
+	default:
+		r.Body, r.ContentLength = http.NoBody, 0
+	}
+}
+
+var lowerName = map[string]string{"Idempotency-Key": "idempotency-key", "X-Idempotency-Key": "x-idempotency-key"}
