Add the decisions of the gate and of target selection

Cause: the transports of node/target and node/peer need the types and signatures of the decisions that they call.

A board is split into 64 buckets, so that an event at 1,200 targets copies one bucket.

Conclusion: compiles and passes lint; no tests yet, behaviour unmeasured.

--- /dev/null
+++ b/node/peer/baseline.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// RoundRobin uses all usable targets in turn; it is a baseline of the measuring program.
+func RoundRobin(b Board, now time.Time, _ *rand.Rand, candidates []Candidate, _ string, out, tried []string) (Choice, bool) {
+	for i := range candidates {
+		c := &candidates[(b.sent+uint64(i))%uint64(len(candidates))]
+		if b.excluded(now, c, out, tried) == "" {
+			return Choice{Name: c.Name, Reason: Least}, true
+		}
+	}
+	return Choice{Reason: Empty}, false
+}
+
+// LeastReported uses the target with the lowest reported load; it is a baseline of the measuring program.
+func LeastReported(b Board, now time.Time, _ *rand.Rand, candidates []Candidate, _ string, out, tried []string) (Choice, bool) {
+	best, least := -1, 0
+	for i := range candidates {
+		c := &candidates[i]
+		if b.excluded(now, c, out, tried) != "" {
+			continue
+		}
+		load := 0
+		if e := b.find(c.Name); e != nil {
+			load = e.load.Running + e.load.Queued
+		}
+		if best < 0 || load < least {
+			best, least = i, load
+		}
+	}
+	if best < 0 {
+		return Choice{Reason: Empty}, false
+	}
+	return Choice{Name: candidates[best].Name, Reason: Least}, true
+}
--- /dev/null
+++ b/node/peer/board.go
@@ -0,0 +1,380 @@
+// Package peer is the side of a node that faces other nodes: selection of targets, retries, hedges and the hop itself.
+package peer
+
+import (
+	"hash/maphash"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/target"
+)
+
+const (
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 5 * time.Second
+	// A load report loses its value exponentially with this time constant, since load shifts within milliseconds.
+	reportFor = 100 * time.Millisecond
+	// A failure ratio halves in this time, so that a target that failed fast is tried again.
+	failingFor = time.Second
+	// Expected cost of one failure; far beyond any wait at a gate (50 ms), so that fast failures attract no traffic.
+	failingCost = 200 * time.Millisecond
+	exploreOne  = 8   // one in so many choices that meet an unknown target tries it
+	jitter      = 0.1 // scores vary by this share, so that senders with the same news choose differently
+	firstTrip   = 200 * time.Microsecond
+	farTrip     = 2 * time.Millisecond // there and back to another failure domain
+	firstTime   = 10 * time.Millisecond
+	tripWeight  = 8
+	buckets     = 64 // an event copies the list of buckets and one bucket
+)
+
+// Candidate is an instance whose target serves the route.
+type Candidate struct {
+	Name   string
+	Domain string
+}
+
+// Reason tells why a target was chosen, or why there is none.
+type Reason string
+
+// Reasons of choices.
+const (
+	Least   Reason = "least"   // lowest expected time of those sampled
+	Spill   Reason = "spill"   // a target of another failure domain is worth the trip
+	Explore Reason = "explore" // a single request to a target of unknown state
+	Domain  Reason = "domain"  // none: all are in failure domains taken out
+	Leaving Reason = "leaving" // none: all others are leaving
+	Unknown Reason = "unknown" // none: all others are lost or being explored
+	Tried   Reason = "tried"   // none: all others were tried
+	Empty   Reason = "empty"   // none: no candidates
+)
+
+// Choice is a chosen target with its expected wait in the queue of its gate.
+type Choice struct {
+	Name   string
+	Reason Reason
+	Wait   time.Duration
+}
+
+type entry struct {
+	name        string
+	domain      string
+	outstanding int
+	load        target.Load
+	others      int // running and queued in the report less own outstanding then
+	known       bool
+	reported    time.Time
+	lost        bool
+	backoff     time.Duration
+	avoid       time.Time // no new request before this time
+}
+
+type trip struct {
+	domain string
+	time   time.Duration
+}
+
+// Board is what a sender knows of targets.
+type Board struct {
+	entries [buckets][]*entry // by hash of the name; entries never change
+	trips   []trip
+	use     float64       // mean of reported load as a share of the limits
+	service time.Duration // mean of reported service times
+	sent    uint64
+}
+
+var seed = maphash.MakeSeed()
+
+func slot(name string) int {
+	return int(maphash.String(seed, name) % buckets)
+}
+
+func (b *Board) find(name string) *entry {
+	for _, e := range b.entries[slot(name)] {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+func (b Board) with(e entry) Board {
+	i := slot(e.name)
+	list := slices.Clone(b.entries[i])
+	at := slices.IndexFunc(list, func(o *entry) bool { return o.name == e.name })
+	if at < 0 {
+		list = append(list, &e)
+	} else {
+		list[at] = &e
+	}
+	b.entries[i] = list
+	return b
+}
+
+func (b *Board) get(name string) entry {
+	if e := b.find(name); e != nil {
+		return *e
+	}
+	return entry{name: name}
+}
+
+// WithSent returns the board after a request was sent; exactly one WithDone follows.
+func (b Board) WithSent(_ time.Time, c Candidate) Board {
+	e := b.get(c.Name)
+	e.domain = c.Domain
+	e.outstanding++
+	b.sent++
+	return b.with(e)
+}
+
+// WithDone returns the board after a request ended in any way.
+func (b Board) WithDone(_ time.Time, name string) Board {
+	e := b.get(name)
+	e.outstanding = max(e.outstanding-1, 0)
+	return b.with(e)
+}
+
+// WithAnswer returns the board after a response with a report; rtt is the time that the hop took beyond the gate's, zero if unknown.
+func (b Board) WithAnswer(now time.Time, name string, l target.Load, rtt time.Duration) Board {
+	e := b.get(name).withReport(now, l)
+	e.avoid = time.Time{}
+	b = b.withTrip(e.domain, rtt).withMeans(l)
+	return b.with(e)
+}
+
+// WithRefusal returns the board after a gate refused a request; a busy gate gets none before its time.
+func (b Board) WithRefusal(now time.Time, name string, r answer.Refusal, l target.Load) Board {
+	e := b.get(name).withReport(now, l)
+	if r.Code == answer.Leaving {
+		e.load.Leaving = true
+	}
+	if r.Code != answer.Late {
+		e.avoid = now.Add(r.After)
+	}
+	return b.withMeans(l).with(e)
+}
+
+// WithLost returns the board after a target's node refused the connection or the connection broke.
+func (b Board) WithLost(now time.Time, name string) Board {
+	e := b.get(name)
+	// Several requests that break at once are one loss.
+	if !e.lost || !now.Before(e.avoid) {
+		e.backoff = min(max(2*e.backoff, firstBackoff), lastBackoff)
+		e.avoid = now.Add(e.backoff)
+	}
+	e.lost, e.known = true, false
+	return b.with(e)
+}
+
+// WithLeaving returns the board after a node announced that it leaves, or a new process took its place.
+func (b Board) WithLeaving(name string, leaving bool) Board {
+	e := b.get(name)
+	if e.load.Leaving && !leaving {
+		e.known = false
+	}
+	e.load.Leaving = leaving
+	return b.with(e)
+}
+
+// WithOnly returns the board without targets that are no longer listed.
+func (b Board) WithOnly(names map[string]bool) Board {
+	for i, list := range b.entries {
+		b.entries[i] = slices.DeleteFunc(slices.Clone(list), func(e *entry) bool { return !names[e.name] && e.outstanding == 0 })
+	}
+	return b
+}
+
+func (e entry) withReport(now time.Time, l target.Load) entry {
+	e.lost, e.backoff = false, 0
+	if l.Limit == 0 { // no report came with the message
+		return e
+	}
+	e.load, e.known, e.reported = l, true, now
+	e.others = max(l.Running+l.Queued-e.outstanding, 0)
+	return e
+}
+
+func (b Board) withMeans(l target.Load) Board {
+	if l.Limit == 0 {
+		return b
+	}
+	use := float64(l.Running+l.Queued) / float64(l.Limit)
+	if b.service == 0 {
+		b.service, b.use = l.Service, use
+		return b
+	}
+	b.service += (l.Service - b.service) / 32
+	b.use += (use - b.use) / 32
+	return b
+}
+
+func (b Board) withTrip(domain string, rtt time.Duration) Board {
+	if rtt <= 0 || domain == "" {
+		return b
+	}
+	b.trips = slices.Clone(b.trips)
+	for i := range b.trips {
+		if t := &b.trips[i]; t.domain == domain {
+			t.time += (rtt - t.time) / tripWeight
+			return b
+		}
+	}
+	b.trips = append(b.trips, trip{domain: domain, time: rtt})
+	return b
+}
+
+// Trip returns the network time there and back to a failure domain.
+func (b Board) Trip(domain, own string) time.Duration {
+	for i := range b.trips {
+		if b.trips[i].domain == domain {
+			return b.trips[i].time
+		}
+	}
+	if domain == own {
+		return firstTrip
+	}
+	return farTrip
+}
+
+// state tells whether the target may get a request now, and whether that is a single exploring one.
+func (b *Board) state(now time.Time, name string) (usable, explore bool, reason Reason) {
+	e := b.find(name)
+	switch {
+	case e == nil:
+		return true, true, Explore
+	case e.load.Leaving && now.Sub(e.reported) < leavingFor:
+		return false, false, Leaving
+	case !e.known:
+		ok := e.outstanding == 0 && !now.Before(e.avoid)
+		return ok, ok, Unknown
+	default:
+		return true, false, Least
+	}
+}
+
+// A leaving mark is checked again after this time, in case the name was taken over by a new process.
+const leavingFor = 5 * time.Second
+
+// cost returns the expected time of a request at the target, and its expected wait in the queue.
+func (b *Board) cost(now time.Time, c Candidate, own string) (score, wait time.Duration) {
+	service := b.service
+	if service == 0 {
+		service = firstTime
+	}
+	limit, ahead, failing := 1.0, b.use, 0.0
+	e := b.find(c.Name)
+	switch {
+	case e == nil:
+	case !e.known:
+		ahead = float64(e.outstanding)
+	default:
+		limit = float64(max(e.load.Limit, 1))
+		if e.load.Service > 0 {
+			service = e.load.Service
+		}
+		age := now.Sub(e.reported)
+		fresh := math.Exp(-float64(age) / float64(reportFor))
+		ahead = float64(e.outstanding) + float64(e.others)*fresh + b.use*limit*(1-fresh)
+		failing = e.load.Failing * math.Exp2(-float64(age)/float64(failingFor))
+	}
+	// A target that fails fast reports short service times, which say nothing.
+	if failing > 0.1 {
+		service = max(service, b.service)
+	}
+	wait = time.Duration(max(ahead+1-limit, 0) / limit * float64(service))
+	score = time.Duration((ahead+1)/limit*float64(service)) + time.Duration(failing*float64(failingCost)) + b.Trip(c.Domain, own)
+	if e != nil && e.avoid.After(now) {
+		wait = max(wait, e.avoid.Sub(now))
+		score += e.avoid.Sub(now)
+	}
+	return score, wait
+}
+
+// Choose returns the target of the next attempt: the best of two of the own failure domain and one of another.
+func (b Board) Choose(now time.Time, r *rand.Rand, candidates []Candidate, own string, out, tried []string) (Choice, bool) {
+	var near, far [3]int // reservoir samples
+	nearSeen, farSeen := 0, 0
+	reason := Empty
+	for i := range candidates {
+		c := &candidates[i]
+		why := b.excluded(now, c, out, tried)
+		if why != "" {
+			reason = worse(reason, why)
+			continue
+		}
+		if c.Domain == own {
+			sample(r, &near, nearSeen, i)
+			nearSeen++
+		} else {
+			sample(r, &far, farSeen, i)
+			farSeen++
+		}
+	}
+	if nearSeen+farSeen == 0 {
+		return Choice{Reason: reason}, false
+	}
+	list := make([]int, 0, 3)
+	list = append(list, near[:min(nearSeen, 2)]...)
+	list = append(list, far[:min(farSeen, 3-len(list))]...)
+	if nearSeen > 0 && farSeen > 0 {
+		list = list[:min(nearSeen, 2)+1]
+	}
+	best, bestScore, bestWait := -1, time.Duration(0), time.Duration(0)
+	for _, i := range list {
+		c := candidates[i]
+		score, wait := b.cost(now, c, own)
+		if _, explore, _ := b.state(now, c.Name); explore && r.IntN(exploreOne) == 0 {
+			return Choice{Name: c.Name, Reason: Explore, Wait: wait}, true
+		}
+		score = time.Duration(float64(score) * (1 + jitter*(2*r.Float64()-1)))
+		if best < 0 || score < bestScore {
+			best, bestScore, bestWait = i, score, wait
+		}
+	}
+	c := candidates[best]
+	choice := Choice{Name: c.Name, Reason: Least, Wait: bestWait}
+	if _, explore, _ := b.state(now, c.Name); explore {
+		choice.Reason = Explore
+	} else if c.Domain != own && nearSeen > 0 {
+		choice.Reason = Spill
+	}
+	return choice, true
+}
+
+// excluded returns why the candidate can't be chosen, or an empty reason.
+func (b *Board) excluded(now time.Time, c *Candidate, out, tried []string) Reason {
+	if slices.Contains(out, c.Domain) {
+		return Domain
+	}
+	if slices.Contains(tried, c.Name) {
+		return Tried
+	}
+	if usable, _, reason := b.state(now, c.Name); !usable {
+		return reason
+	}
+	return ""
+}
+
+// worse returns the reason that tells more about why there is no choice.
+func worse(a, b Reason) Reason {
+	order := []Reason{Empty, Domain, Leaving, Tried, Unknown}
+	if slices.Index(order, b) > slices.Index(order, a) {
+		return b
+	}
+	return a
+}
+
+// sample keeps a random selection, in random order, of the indices offered so far.
+func sample(r *rand.Rand, kept *[3]int, seen, i int) {
+	if seen < len(kept) {
+		j := r.IntN(seen + 1)
+		kept[seen] = kept[j]
+		kept[j] = i
+		return
+	}
+	if j := r.IntN(seen + 1); j < len(kept) {
+		kept[j] = i
+	}
+}
--- /dev/null
+++ b/node/target/baseline.go
@@ -0,0 +1,20 @@
+package target
+
+import (
+	"time"
+
+	"verbenapin.dev/node/answer"
+)
+
+// AdmitAll starts every request; it is the measuring program's baseline without admission control.
+func AdmitAll(g Gate, now time.Time, t Ticket) (Gate, Verdict) {
+	return g.withStart(now, t), Verdict{ID: t.ID, Action: Start}
+}
+
+// AdmitSlots knows the configured slots only; it is the measuring program's baseline without an adaptive limit.
+func AdmitSlots(g Gate, now time.Time, t Ticket) (Gate, Verdict) {
+	if len(g.runs) >= g.limit.slots {
+		return g, refuse(t.ID, answer.Busy, g.limit.Service(), "all slots are in use")
+	}
+	return g.withStart(now, t), Verdict{ID: t.ID, Action: Start}
+}
--- /dev/null
+++ b/node/target/gate.go
@@ -0,0 +1,266 @@
+package target
+
+import (
+	"slices"
+	"time"
+
+	"verbenapin.dev/node/answer"
+)
+
+const (
+	queueFactor = 2                     // waiting tickets at most, as a multiple of the limit
+	queueFor    = 50 * time.Millisecond // longest wait of a ticket
+	awayFor     = time.Second           // time after which to ask a target again that leaves or is taken out
+)
+
+// Action tells what happens to a ticket.
+type Action int
+
+// Actions of the gate.
+const (
+	Start  Action = iota // send the request to the target now
+	Wait                 // the gate returns another verdict later
+	Refuse               // the request did not and will not run
+)
+
+// Verdict is the gate's decision on one ticket.
+type Verdict struct {
+	ID      uint64
+	Action  Action
+	Refusal answer.Refusal // set for Refuse
+}
+
+// Kind classifies how a started request ended.
+type Kind int
+
+// Kinds of outcomes.
+const (
+	Good      Kind = iota
+	Failed         // the target answered with a server error
+	Shed           // the target answered that it is overloaded (429, 503)
+	Lost           // the connection broke
+	Refused        // the target refused the connection, so the request did not run
+	Cancelled      // the caller gave up, which says nothing about the target
+)
+
+// Outcome is the end of a started request; Latency is the target's service time.
+type Outcome struct {
+	Kind    Kind
+	Latency time.Duration
+}
+
+type run struct {
+	ticket  Ticket
+	started time.Time
+	cost    time.Duration // expected service time, charged at the start
+	full    bool          // the limit was reached while the request ran
+}
+
+// Gate decides which requests run at the target beside the node.
+type Gate struct {
+	limit     Limit
+	queue     Queue
+	runs      []run     // by start
+	displaced []Verdict // refusals to return with the next event
+	leaving   bool
+	out       bool
+}
+
+// NewGate returns the gate of a target that was not seen warm.
+func NewGate(slots int) Gate {
+	return Gate{limit: NewLimit(slots)}
+}
+
+// WithSlots returns the gate under a new number of slots of a warm target.
+func (g Gate) WithSlots(slots int) Gate {
+	g.limit = g.limit.WithSlots(slots)
+	return g
+}
+
+// WithLeaving returns the gate of a target that leaves, or no longer does; waiting tickets are still served.
+func (g Gate) WithLeaving(leaving bool) Gate {
+	g.leaving = leaving
+	return g
+}
+
+// WithOut returns the gate in a failure domain that is taken out, or brought back; on return the target counts as cold.
+func (g Gate) WithOut(now time.Time, out bool) Gate {
+	if g.out && !out {
+		g.limit = g.limit.WithCold(now)
+	}
+	g.out = out
+	return g
+}
+
+// Load returns the report for senders.
+func (g Gate) Load(now time.Time) Load {
+	return Load{
+		Running: len(g.runs),
+		Queued:  g.queue.Len(),
+		Limit:   g.limit.WithIdle(now).Value(),
+		Service: g.limit.Service(),
+		Failing: g.limit.Failing(),
+		Leaving: g.leaving,
+	}
+}
+
+// Due returns when WithTick has to run at the latest, or false if nothing waits.
+func (g Gate) Due() (time.Time, bool) {
+	if len(g.displaced) > 0 {
+		return time.Time{}, true
+	}
+	var due time.Time
+	for i := range g.queue.waiters {
+		w := &g.queue.waiters[i]
+		at := w.arrived.Add(queueFor)
+		if !w.ticket.Deadline.IsZero() && w.ticket.Deadline.Before(at) {
+			at = w.ticket.Deadline
+		}
+		if due.IsZero() || at.Before(due) {
+			due = at
+		}
+	}
+	return due, !due.IsZero()
+}
+
+func refuse(id uint64, code answer.Code, after time.Duration, text string) Verdict {
+	return Verdict{ID: id, Action: Refuse, Refusal: answer.NotRun(code, text).WithAfter(max(after, time.Millisecond))}
+}
+
+// WithArrival decides on a new request. A waiting ticket that gives way to it is refused by the next event.
+func (g Gate) WithArrival(now time.Time, t Ticket) (Gate, Verdict) {
+	switch {
+	case g.out:
+		return g, refuse(t.ID, answer.Domain, awayFor, "the failure domain is taken out")
+	case g.leaving:
+		return g, refuse(t.ID, answer.Leaving, awayFor, "the target is leaving")
+	case !t.Deadline.IsZero() && !now.Before(t.Deadline):
+		return g, refuse(t.ID, answer.Late, 0, "the deadline has passed")
+	}
+	g.limit = g.limit.WithIdle(now)
+	g = g.withOverdue(now)
+	limit := g.limit.Value()
+	if len(g.runs) < limit && g.queue.Room(now, t.Account, limit) {
+		if _, more := g.queue.Next(now, limit); !more {
+			return g.withStart(now, t), Verdict{ID: t.ID, Action: Start}
+		}
+	}
+	wait := g.expected(t.Account)
+	switch {
+	case !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline):
+		return g, refuse(t.ID, answer.Late, wait, "the expected wait exceeds the time left")
+	case wait > queueFor:
+		return g, refuse(t.ID, answer.Busy, wait, "the expected wait is too long")
+	}
+	if g.queue.Len() >= queueFactor*limit {
+		victim, ok := g.queue.Displaced(t.Account)
+		if !ok {
+			return g, refuse(t.ID, answer.Busy, wait, "the queue is full")
+		}
+		g.queue, _ = g.queue.WithoutTicket(now, victim.ID)
+		g.displaced = append(slices.Clip(g.displaced), refuse(victim.ID, answer.Busy, wait, "gave way to another account"))
+	}
+	g.queue = g.queue.WithTicket(now, t)
+	return g, Verdict{ID: t.ID, Action: Wait}
+}
+
+// expected returns the expected wait of a new ticket of the account.
+func (g Gate) expected(account string) time.Duration {
+	limit, running := g.limit.Value(), len(g.runs)
+	service := g.limit.Service()
+	wait := service * time.Duration(g.queue.Ahead(account)+1) / time.Duration(limit)
+	if running > limit {
+		wait += service * time.Duration(running-limit) / time.Duration(running)
+	}
+	return wait
+}
+
+func (g Gate) withStart(now time.Time, t Ticket) Gate {
+	cost := g.limit.Service()
+	g.queue = g.queue.WithStart(now, t.Account, cost)
+	g.runs = append(slices.Clip(g.runs), run{ticket: t, started: now, cost: cost})
+	if len(g.runs) >= g.limit.Value() {
+		for i := range g.runs { // append copied the clipped slice
+			g.runs[i].full = true
+		}
+	}
+	return g
+}
+
+// withOverdue counts requests that run for longer than a slow response takes, before they end.
+func (g Gate) withOverdue(now time.Time) Gate {
+	bound := g.limit.Slow()
+	if bound == 0 || g.limit.Value() == 1 {
+		return g
+	}
+	overdue := 0
+	for i := range g.runs {
+		if now.Sub(g.runs[i].started) <= bound {
+			break
+		}
+		if !g.runs[i].started.Before(g.limit.cut) {
+			overdue++
+		}
+	}
+	if overdue > 0 {
+		g.limit = g.limit.WithSlow(now, overdue)
+	}
+	return g
+}
+
+// WithDone returns the gate after a started request ended, and the verdicts on waiting tickets.
+func (g Gate) WithDone(now time.Time, id uint64, o Outcome) (Gate, []Verdict) {
+	at := slices.IndexFunc(g.runs, func(r run) bool { return r.ticket.ID == id })
+	if at < 0 {
+		return g, nil
+	}
+	r := g.runs[at]
+	g.runs = slices.Concat(g.runs[:at], g.runs[at+1:])
+	g.queue = g.queue.WithEnd(now, r.ticket.Account, now.Sub(r.started)-r.cost)
+	switch o.Kind {
+	case Good:
+		g.limit = g.limit.WithGood(now, r.started, o.Latency, r.full)
+	case Failed:
+		g.limit = g.limit.WithFailed(now, o.Latency)
+	case Shed, Lost:
+		g.limit = g.limit.WithShed(now)
+	case Refused:
+		g.limit = g.limit.WithRefused(now)
+	}
+	return g.WithTick(now)
+}
+
+// WithCancel removes a waiting ticket whose caller gave up; a started one ends with WithDone.
+func (g Gate) WithCancel(now time.Time, id uint64) (Gate, []Verdict) {
+	g.queue, _ = g.queue.WithoutTicket(now, id)
+	g.displaced = slices.DeleteFunc(slices.Clone(g.displaced), func(v Verdict) bool { return v.ID == id })
+	return g.WithTick(now)
+}
+
+// WithTick refuses tickets that waited for too long and starts those for which there is room.
+func (g Gate) WithTick(now time.Time) (Gate, []Verdict) {
+	g = g.withOverdue(now)
+	verdicts := slices.Clip(g.displaced)
+	g.displaced = nil
+	for _, w := range g.queue.waiters {
+		switch {
+		case !w.ticket.Deadline.IsZero() && !now.Before(w.ticket.Deadline):
+			verdicts = append(verdicts, refuse(w.ticket.ID, answer.Late, 0, "the deadline passed in the queue"))
+		case now.Sub(w.arrived) >= queueFor:
+			verdicts = append(verdicts, refuse(w.ticket.ID, answer.Busy, g.expected(w.ticket.Account), "waited for too long"))
+		default:
+			continue
+		}
+		g.queue, _ = g.queue.WithoutTicket(now, w.ticket.ID)
+	}
+	for len(g.runs) < g.limit.Value() {
+		t, ok := g.queue.Next(now, g.limit.Value())
+		if !ok {
+			break
+		}
+		g.queue, _ = g.queue.WithoutTicket(now, t.ID)
+		g = g.withStart(now, t)
+		verdicts = append(verdicts, Verdict{ID: t.ID, Action: Start})
+	}
+	return g, verdicts
+}
--- /dev/null
+++ b/node/target/limit.go
@@ -0,0 +1,170 @@
+package target
+
+import "time"
+
+const (
+	slowFactor  = 3  // service time beyond this multiple of the baseline counts as slow
+	slowCut     = 3  // slow responses in a row that halve the limit
+	slowCold    = 5  // slow responses in a row that mean a cold target
+	nearFactor  = 2  // recent service time up to this multiple of the baseline allows growth
+	baseWeight  = 64 // responses over which the baseline is averaged
+	shortWeight = 8  // responses over which recent values are averaged
+	// One failure among eight responses is common in applications; two or more point to a failing target.
+	failingCut = 0.2
+	// Within this time without a response a target can be replaced unnoticed, so that the limit is halved.
+	idleCut = 10 * time.Second
+	// Assumed until the first response.
+	firstService = 10 * time.Millisecond
+)
+
+// Limit is the number of concurrent requests that a target is found to have capacity for; it starts at 1.
+type Limit struct {
+	slots   int
+	value   int
+	credit  int // good responses at full use since the last change
+	slow    int // slow responses in a row
+	seen    int // responses in the baseline, up to baseWeight
+	base    time.Duration
+	spread  time.Duration // mean absolute deviation from the baseline
+	recent  time.Duration
+	failing float64
+	cut     time.Time // last reduction
+	heard   time.Time // last response
+}
+
+// NewLimit returns the limit of a target that was not seen warm.
+func NewLimit(slots int) Limit {
+	return Limit{slots: max(slots, 1), value: 1}
+}
+
+// Value returns the number of concurrent requests.
+func (l Limit) Value() int { return l.value }
+
+// Service returns the recent mean service time.
+func (l Limit) Service() time.Duration {
+	if l.seen == 0 {
+		return firstService
+	}
+	return l.recent
+}
+
+// Failing returns the share of recent responses that failed.
+func (l Limit) Failing() float64 { return l.failing }
+
+// WithSlots returns the limit under a new upper bound.
+func (l Limit) WithSlots(slots int) Limit {
+	l.slots = max(slots, 1)
+	l.value = min(l.value, l.slots)
+	return l
+}
+
+// WithCold returns the limit of a target that started anew.
+func (l Limit) WithCold(now time.Time) Limit {
+	l.value, l.credit, l.slow, l.cut = 1, 0, 0, now
+	return l
+}
+
+// WithHalf returns half of the limit.
+func (l Limit) WithHalf(now time.Time) Limit {
+	l.value, l.credit, l.cut = max(l.value/2, 1), 0, now
+	return l
+}
+
+// WithIdle returns the limit after a time without responses.
+func (l Limit) WithIdle(now time.Time) Limit {
+	if l.heard.IsZero() {
+		return l
+	}
+	for ; l.value > 1 && now.Sub(l.heard) >= idleCut; l.heard = l.heard.Add(idleCut) {
+		l = l.WithHalf(now)
+	}
+	return l
+}
+
+// Slow returns the service time from which a response counts as slow, or zero while no baseline exists.
+func (l Limit) Slow() time.Duration {
+	if l.seen < slowCold {
+		return 0
+	}
+	return max(slowFactor*l.base, l.base+2*l.spread)
+}
+
+// WithGood returns the limit after a response; full tells that the limit was reached while the request ran.
+func (l Limit) WithGood(now, started time.Time, latency time.Duration, full bool) Limit {
+	l.heard = now
+	l.failing -= l.failing / shortWeight
+	after := !started.Before(l.cut)
+	bound := l.Slow()
+	l = l.withSample(latency, after)
+	if bound > 0 && latency > bound {
+		return l.WithSlow(now, 0)
+	}
+	l.slow = 0
+	// Requests that started under a higher limit say nothing about the present one.
+	if !full || !after || l.value >= l.slots || l.recent > nearFactor*l.base {
+		return l
+	}
+	l.credit++
+	if l.credit >= l.value {
+		l.value, l.credit = l.value+1, 0
+	}
+	return l
+}
+
+func (l Limit) withSample(latency time.Duration, after bool) Limit {
+	latency = max(latency, time.Microsecond)
+	if l.seen == 0 {
+		l.seen, l.base, l.recent = 1, latency, latency
+		return l
+	}
+	l.seen = min(l.seen+1, baseWeight)
+	weight := time.Duration(l.seen)
+	// At a limit of 1 the target has no load of ours besides this request, so a lasting change is adopted.
+	if l.value == 1 && after {
+		weight = min(weight, shortWeight)
+	}
+	l.spread += ((latency - l.base).Abs() - l.spread) / weight
+	l.base += (latency - l.base) / weight
+	l.recent += (latency - l.recent) / time.Duration(min(l.seen, shortWeight))
+	return l
+}
+
+// WithSlow returns the limit after one more slow response while overdue requests still run.
+func (l Limit) WithSlow(now time.Time, overdue int) Limit {
+	if overdue == 0 {
+		l.slow++
+	}
+	switch n := l.slow + overdue; {
+	case n >= slowCold:
+		if l.value > 1 {
+			return l.WithCold(now)
+		}
+	case n == slowCut && overdue == 0:
+		return l.WithHalf(now)
+	}
+	return l
+}
+
+// WithFailed returns the limit after a failed response.
+func (l Limit) WithFailed(now time.Time, latency time.Duration) Limit {
+	l.heard = now
+	l.failing += (1 - l.failing) / shortWeight
+	if l.failing >= failingCut && 2*latency < l.base {
+		return l.WithHalf(now)
+	}
+	return l
+}
+
+// WithShed returns the limit after the target shed a request or broke its connection.
+func (l Limit) WithShed(now time.Time) Limit {
+	l.heard = now
+	l.failing += (1 - l.failing) / shortWeight
+	return l.WithHalf(now)
+}
+
+// WithRefused returns the limit after the target refused a connection.
+func (l Limit) WithRefused(now time.Time) Limit {
+	l.heard = now
+	l.failing += (1 - l.failing) / shortWeight
+	return l.WithCold(now)
+}
