Show that no library repeats a request

Cause: the HTTP/2 transport repeated an empty POST six times in 5 s after REFUSED_STREAM, because http.NoBody counts as no body. Conclusion: an attempt is sent at most once; repeating it is the plan's decision.

--- a/node/answer/http.go
+++ b/node/answer/http.go
@@ -17,6 +17,7 @@
 	HeaderRun       = Prefix + "Run"
 	HeaderDeadline  = Prefix + "Deadline"
 	HeaderLoad      = Prefix + "Load"
+	HeaderTook      = Prefix + "Took" // microseconds at the target's node
 	HeaderAccount   = Prefix + "Account"
 	HeaderRoute     = Prefix + "Route"
 	HeaderKey       = Prefix + "Key"
--- a/node/clock/clock.go
+++ b/node/clock/clock.go
@@ -14,6 +14,7 @@
 	// Now tells the time; it includes a monotonic reading on a real clock.
 	Now   func() time.Time
 	start func(every time.Duration, tick Tick) *Subscription
+	after func(wait time.Duration, tick Tick) *Subscription
 }
 
 // Subscription ends with Close.
@@ -24,7 +25,7 @@
 
 // New returns the clock of the machine.
 func New() *Clock {
-	return &Clock{Now: time.Now, start: startTicker}
+	return &Clock{Now: time.Now, start: startTicker, after: startTimer}
 }
 
 // Subscribe calls tick once each period until the subscription is closed; ticks never overlap.
@@ -32,6 +33,11 @@
 	return c.start(every, tick)
 }
 
+// After calls tick once after the given time unless the subscription is closed before.
+func (c *Clock) After(wait time.Duration, tick Tick) *Subscription {
+	return c.after(wait, tick)
+}
+
 // Close ends the ticks and waits for one that is running.
 func (s *Subscription) Close() {
 	s.once.Do(s.stop)
@@ -58,3 +64,16 @@
 		<-ended
 	}}
 }
+
+func startTimer(wait time.Duration, tick Tick) *Subscription {
+	ended := make(chan struct{})
+	timer := time.AfterFunc(wait, func() {
+		defer close(ended)
+		tick(time.Now())
+	})
+	return &Subscription{stop: func() {
+		if !timer.Stop() {
+			<-ended
+		}
+	}}
+}
--- a/node/clock/clock_test.go
+++ b/node/clock/clock_test.go
@@ -49,3 +49,20 @@
 	s.Close()
 	s.Close()
 }
+
+// TestAfter guards against a timer that fires twice, early or after Close.
+func TestAfter(t *testing.T) {
+	m := NewManual(time.Unix(0, 0))
+	n := 0
+	closed := m.Clock().After(time.Second, func(time.Time) { n += 10 })
+	m.Clock().After(time.Second, func(time.Time) { n++ })
+	closed.Close()
+	m.Advance(999 * time.Millisecond)
+	require.Zero(t, n)
+	m.Advance(time.Hour)
+	require.Equal(t, 1, n)
+	fired := make(chan struct{})
+	s := New().After(time.Nanosecond, func(time.Time) { close(fired) })
+	<-fired
+	s.Close()
+}
--- a/node/clock/manual.go
+++ b/node/clock/manual.go
@@ -26,7 +26,7 @@
 
 // Clock returns the clock whose time is set by m.
 func (m *Manual) Clock() *Clock {
-	return &Clock{Now: m.Now, start: m.subscribe}
+	return &Clock{Now: m.Now, start: m.subscribe, after: m.after}
 }
 
 // Now returns the time that m shows.
@@ -67,16 +67,28 @@
 	}
 	e := m.entries[found]
 	m.now = e.due
+	if e.every == 0 {
+		delete(m.entries, found)
+	}
 	e.due = e.due.Add(e.every)
 	return e
 }
 
 func (m *Manual) subscribe(every time.Duration, tick Tick) *Subscription {
+	return m.add(&manualEntry{every: every, tick: tick}, every)
+}
+
+func (m *Manual) after(wait time.Duration, tick Tick) *Subscription {
+	return m.add(&manualEntry{tick: tick}, wait)
+}
+
+func (m *Manual) add(e *manualEntry, wait time.Duration) *Subscription {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	id := m.next
 	m.next++
-	m.entries[id] = &manualEntry{every: every, due: m.now.Add(every), tick: tick}
+	e.due = m.now.Add(wait)
+	m.entries[id] = e
 	return &Subscription{stop: func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -87,8 +88,15 @@
 	}
 	encode(out.Header, call, c.now())
 	target.PreventResend(out)
+	if out.Body == http.NoBody {
+		// HTTP/2 repeats any request without body after REFUSED_STREAM or GOAWAY, whatever its method.
+		out.Body = target.EmptyBody{}
+	}
 	res, err := c.http.RoundTrip(out)
 	if err != nil {
+		if cause := context.Cause(call.Request.Context()); cause != nil {
+			err = cause
+		}
 		return target.Reply{}, refusal(err, connected.Load())
 	}
 	return reply(res)
@@ -110,6 +118,9 @@
 	if load, err := target.ParseLoad(res.Header.Get(answer.HeaderLoad)); err == nil {
 		r.Load, r.Reported = load, true
 	}
+	if us, err := strconv.ParseInt(res.Header.Get(answer.HeaderTook), 10, 64); err == nil && us > 0 {
+		r.Took = time.Duration(us) * time.Microsecond
+	}
 	refused, ok, err := answer.Read(res)
 	if !ok {
 		r.Response = res
--- a/node/peer/identity.go
+++ b/node/peer/identity.go
@@ -14,7 +14,9 @@
 	Err  error
 }
 
-func (e IdentityError) Error() string { return fmt.Sprintf("peer: certificate file %s: %v", e.Path, e.Err) }
+func (e IdentityError) Error() string {
+	return fmt.Sprintf("peer: certificate file %s: %v", e.Path, e.Err)
+}
 
 // Unwrap returns the cause.
 func (e IdentityError) Unwrap() error { return e.Err }
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"time"
 
 	"verbenapin.dev/node/answer"
@@ -62,7 +63,8 @@
 func (s *Server) Close() { _ = s.http.Close() }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	call, err := decode(r, s.now())
+	begun := s.now()
+	call, err := decode(r, begun)
 	if err != nil {
 		s.refuse(w, answer.NotRun(answer.Path, err.Error()))
 		return
@@ -79,6 +81,7 @@
 		return
 	}
 	w.Header().Set(answer.HeaderLoad, s.load().String())
+	w.Header().Set(answer.HeaderTook, strconv.FormatInt(s.now().Sub(begun).Microseconds(), 10))
 	if err := answer.Relay(w, reply.Response); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- /dev/null
+++ b/node/target/admission.go
@@ -0,0 +1,193 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/clock"
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/loop"
+)
+
+// probeTick is the period in which a probe is considered; the budget decides.
+const probeTick = 200 * time.Millisecond
+
+// Admission holds the gate on the control goroutine and lets traffic goroutines wait for its verdicts.
+type Admission struct {
+	loop    *loop.Loop
+	clock   *clock.Clock
+	arrive  func(g Gate, now time.Time, t Ticket) (Gate, Verdict)
+	gate    Gate
+	slots   int
+	waiting map[uint64]chan Verdict
+	next    uint64
+	timer   *clock.Subscription
+	probe   ProbeState
+	load    atomic.Pointer[Load]
+	probes  *clock.Subscription
+}
+
+// NewAdmission returns the admission to the target beside this node. arrive decides on a new ticket, usually
+// Gate.WithArrival. sendProbe sends a probe and returns the time that it took of the target, or an error.
+func NewAdmission(
+	l *loop.Loop,
+	c *clock.Clock,
+	arrive func(g Gate, now time.Time, t Ticket) (Gate, Verdict),
+	budget func() float64,
+	sendProbe func(ctx context.Context) (time.Duration, error),
+) *Admission {
+	a := &Admission{
+		loop: l, clock: c, arrive: arrive,
+		gate: NewGate(1), slots: 1,
+		waiting: map[uint64]chan Verdict{},
+		probe:   NewProbeState(c.Now()),
+	}
+	a.publish(c.Now())
+	a.probes = c.Subscribe(probeTick, func(time.Time) { a.tickProbe(budget, sendProbe) })
+	return a
+}
+
+// Load returns the current report of the gate.
+func (a *Admission) Load() Load { return *a.load.Load() }
+
+// Admit waits until the gate starts the ticket; the returned function must be called with the outcome.
+func (a *Admission) Admit(ctx context.Context, t Ticket, route config.Route) (func(Outcome), error) {
+	// The event must run to its end even if the caller leaves, because it may take a slot.
+	bound := context.WithoutCancel(ctx)
+	verdicts := make(chan Verdict, 1)
+	var first Verdict
+	err := a.loop.Call(bound, func(now time.Time) {
+		a.next++
+		t.ID = a.next
+		a.setSlots(route.Slots)
+		a.gate, first = a.arrive(a.gate, now, t)
+		if first.Action == Wait {
+			a.waiting[t.ID] = verdicts
+		}
+		a.settle(now, nil)
+	})
+	if err != nil {
+		return nil, answer.NotRun(answer.Busy, fmt.Sprintf("admission failed: %v", err))
+	}
+	if first.Action == Wait {
+		first = a.wait(ctx, t.ID, verdicts)
+	}
+	if first.Action == Refuse {
+		return nil, first.Refusal
+	}
+	return func(o Outcome) { a.finish(bound, t.ID, o) }, nil
+}
+
+// wait returns the verdict on a queued ticket; a caller that leaves gives up its place.
+func (a *Admission) wait(ctx context.Context, id uint64, verdicts chan Verdict) Verdict {
+	select {
+	case v := <-verdicts:
+		return v
+	case <-ctx.Done():
+	}
+	_ = a.loop.Call(context.WithoutCancel(ctx), func(now time.Time) {
+		if _, ok := a.waiting[id]; !ok {
+			return
+		}
+		delete(a.waiting, id)
+		var more []Verdict
+		a.gate, more = a.gate.WithCancel(now, id)
+		a.settle(now, more)
+	})
+	select {
+	case v := <-verdicts:
+		return v // the verdict came first; the attempt ends as cancelled
+	default:
+		return Verdict{ID: id, Action: Refuse, Refusal: answer.NotRun(answer.Late, "the caller left the queue")}
+	}
+}
+
+func (a *Admission) finish(ctx context.Context, id uint64, o Outcome) {
+	_ = a.loop.Post(ctx, func(now time.Time) {
+		if o.Kind == Good {
+			a.probe = a.probe.WithResponse(now)
+		}
+		var more []Verdict
+		a.gate, more = a.gate.WithDone(now, id, o)
+		a.settle(now, more)
+	})
+}
+
+// SetLeaving marks the target as leaving, or not.
+func (a *Admission) SetLeaving(ctx context.Context, leaving bool) error {
+	return a.loop.Call(ctx, func(now time.Time) {
+		a.gate = a.gate.WithLeaving(leaving)
+		a.settle(now, nil)
+	})
+}
+
+// SetOut marks the target's failure domain as taken out, or not; it runs on the control goroutine.
+func (a *Admission) SetOut(now time.Time, out bool) {
+	a.gate = a.gate.WithOut(now, out)
+	a.settle(now, nil)
+}
+
+func (a *Admission) setSlots(slots int) {
+	if slots > 0 && slots != a.slots {
+		a.slots = slots
+		a.gate = a.gate.WithSlots(slots)
+	}
+}
+
+// settle hands out verdicts, publishes the report and sets the timer of the queue.
+func (a *Admission) settle(now time.Time, verdicts []Verdict) {
+	for _, v := range verdicts {
+		if ch, ok := a.waiting[v.ID]; ok {
+			delete(a.waiting, v.ID)
+			ch <- v
+		}
+	}
+	a.publish(now)
+	if a.timer != nil {
+		return
+	}
+	if due, ok := a.gate.Due(); ok {
+		a.timer = a.clock.After(max(due.Sub(now), 0), func(time.Time) { _ = a.loop.Post(context.Background(), a.tick) })
+	}
+}
+
+func (a *Admission) tick(now time.Time) {
+	a.timer = nil
+	var more []Verdict
+	a.gate, more = a.gate.WithTick(now)
+	a.settle(now, more)
+}
+
+func (a *Admission) publish(now time.Time) {
+	load := a.gate.Load(now)
+	a.load.Store(&load)
+}
+
+// tickProbe sends a probe if the budget allows one; it runs on the goroutine of its subscription.
+func (a *Admission) tickProbe(budget func() float64, send func(ctx context.Context) (time.Duration, error)) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeLost)
+	defer cancel()
+	due := false
+	err := a.loop.Call(ctx, func(now time.Time) {
+		if due = Probe(now, a.probe, budget()); due {
+			a.probe = a.probe.WithProbe(now)
+		}
+	})
+	if err != nil || !due {
+		return
+	}
+	cost, err := send(ctx)
+	_ = a.loop.Call(ctx, func(now time.Time) {
+		a.probe = a.probe.WithResult(cost)
+		if err != nil {
+			a.gate = a.gate.WithUnreachable(now)
+		}
+		a.settle(now, nil)
+	})
+}
+
+// Close ends the probes and waits for one that is running.
+func (a *Admission) Close() { a.probes.Close() }
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -21,7 +21,8 @@
 type Reply struct {
 	Response *http.Response // nil if the attempt was refused
 	Load     Load
-	Reported bool // Load comes from the gate of this attempt
+	Reported bool          // Load comes from the gate of this attempt
+	Took     time.Duration // time at the target's node until the head of the response
 }
 
 // IsEmpty tells whether a request has no body.
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -92,6 +92,12 @@
 	return g
 }
 
+// WithUnreachable returns the gate after a probe got no answer; the target counts as cold when it is back.
+func (g Gate) WithUnreachable(now time.Time) Gate {
+	g.limit = g.limit.WithRefused(now)
+	return g
+}
+
 // Load returns the report for senders.
 func (g Gate) Load(now time.Time) Load {
 	return Load{
--- a/node/target/transport.go
+++ b/node/target/transport.go
@@ -97,11 +97,14 @@
 // Close closes the connections that are not in use.
 func (t *Transport) Close() { t.http.CloseIdleConnections() }
 
-// emptyBody is an empty body that the library cannot tell from one that it could not send again.
-type emptyBody struct{}
+// EmptyBody is an empty body that the library cannot tell from one that it could not send again.
+type EmptyBody struct{}
 
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (emptyBody) Close() error             { return nil }
+// Read reports the end of the body.
+func (EmptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close does nothing.
+func (EmptyBody) Close() error { return nil }
 
 // PreventResend keeps net/http from sending a request again by itself after a broken connection.
 // The library repeats a request without body, or with GetBody, if its method is safe or it carries an
@@ -119,7 +122,7 @@
 	}
 	switch r.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		r.Body, r.ContentLength = emptyBody{}, 0
+		r.Body, r.ContentLength = EmptyBody{}, 0
 	default:
 		r.Body, r.ContentLength = http.NoBody, 0
 	}
