Add the admin listener and the metrics

Cause: operators need health, readiness, state, metrics, profiles and an explanation of a refusal from each node.

Change: operator.Server answers on a given listener and asks the node through function fields. operator.Metrics counts through tally into the Prometheus text format; a label keeps at most 512 distinct values and counts the rest as "other", because the reporter keeps each series until the process ends. Waits are recorded as timers, which reach the histogram unbuffered and keep exact sums.

Conclusion: the tests pass; with the bound broken by one, TestBound fails.

--- /dev/null
+++ b/node/operator/metrics.go
@@ -0,0 +1,265 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"verbenapin.dev/node/answer"
+)
+
+// maxValues bounds the distinct values of one label, because the reporter keeps every series until the node ends.
+const maxValues = 512
+
+// otherValue stands for the values beyond maxValues.
+const otherValue = "other"
+
+// Stage is a part of a request's way through a node.
+type Stage string
+
+// Stages whose time is measured.
+const (
+	StageAccount Stage = "account" // waiting for tokens
+	StageChoice  Stage = "choice"  // choosing a target
+	StageHop     Stage = "hop"     // from the first byte sent to another node until its response head
+	StageQueue   Stage = "queue"   // in the fair queue beside the target
+	StageTarget  Stage = "target"  // from the first byte sent to the target until its response head
+	StageWhole   Stage = "whole"   // from the request head until the end of the response
+)
+
+// buckets are the upper bounds of the time histograms in seconds; the target of added latency is 0.68 ms.
+var buckets = []float64{
+	0.0001, 0.0002, 0.0004, 0.00068, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256, 0.512, 1, 2, 4, 8,
+}
+
+const prefix = "verbenapin"
+
+// counters and gauges list the name, the help and the labels of each metric.
+var (
+	counters = map[string]description{
+		"answered": {help: "Responses of targets sent completely, by route and class of status.", labels: []string{"class", "route"}},
+		"served":   {help: "Responses of targets sent completely, by account.", labels: []string{"account"}},
+		"refused":  {help: "Refused requests, by code, route and whether they ran.", labels: []string{"code", "route", "run"}},
+		"denied":   {help: "Refused requests, by account and code.", labels: []string{"account", "code"}},
+		"retried":  {help: "Attempts after the first one, by route.", labels: []string{"route"}},
+		"hedged":   {help: "Hedged attempts, by route.", labels: []string{"route"}},
+		"probes":   {help: "Probes sent to the target."},
+	}
+	gauges = map[string]description{
+		"version": {help: "Number of the configuration version in force."},
+		"age":     {help: "Age of the evidence that the version is the newest, in seconds."},
+		"peers":   {help: "Other instances, by state.", labels: []string{"state"}},
+		"running": {help: "Requests running on the target."},
+		"queued":  {help: "Requests queued beside the target."},
+		"limit":   {help: "Concurrent requests that the target has capacity for."},
+		"probing": {help: "Share of the target's time used by probes, 0 to 1."},
+		"budget":  {help: "Share of the target's time that probes may use, 0 to 1."},
+	}
+)
+
+type description struct {
+	help   string
+	labels []string
+}
+
+// Metrics counts what a node does; its methods may be called from any goroutine.
+type Metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+
+	mu       sync.RWMutex
+	values   map[string]map[string]bool // distinct values by label
+	counters map[series]tally.Counter
+	timers   map[Stage]tally.Timer
+	gauges   map[series]tally.Gauge
+}
+
+// series identifies a metric and the values of its labels, in the order of its description.
+type series struct{ name, a, b, c string }
+
+// NewMetrics returns metrics that reach the text form once each interval; with 0 only Close brings them there.
+func NewMetrics(interval time.Duration) (*Metrics, error) {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer:              registry,
+		DefaultTimerType:        prometheus.HistogramTimerType,
+		DefaultHistogramBuckets: buckets,
+	})
+	for name, d := range counters {
+		if _, err := reporter.RegisterCounter(fullName(name), d.labels, d.help); err != nil {
+			return nil, fmt.Errorf("operator: describing %s: %w", name, err)
+		}
+	}
+	for name, d := range gauges {
+		if _, err := reporter.RegisterGauge(fullName(name), d.labels, d.help); err != nil {
+			return nil, fmt.Errorf("operator: describing %s: %w", name, err)
+		}
+	}
+	options := prometheus.RegisterTimerOptions{TimerType: prometheus.HistogramTimerType, HistogramBuckets: buckets}
+	if _, err := reporter.RegisterTimer(fullName("wait"), []string{"stage"}, "Time spent in a stage, in seconds.", &options); err != nil {
+		return nil, fmt.Errorf("operator: describing wait: %w", err)
+	}
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		Separator:              prometheus.DefaultSeparator,
+		CachedReporter:         reporter,
+		OmitCardinalityMetrics: true,
+	}, interval)
+	return &Metrics{
+		scope:    scope,
+		closer:   closer,
+		handler:  reporter.HTTPHandler(),
+		values:   map[string]map[string]bool{},
+		counters: map[series]tally.Counter{},
+		timers:   map[Stage]tally.Timer{},
+		gauges:   map[series]tally.Gauge{},
+	}, nil
+}
+
+func fullName(name string) string { return prefix + prometheus.DefaultSeparator + name }
+
+// Handler serves the metrics in the text exposition format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close reports the last values and waits for the reporting goroutine.
+func (m *Metrics) Close() error {
+	if err := m.closer.Close(); err != nil {
+		return fmt.Errorf("operator: closing the metrics: %w", err)
+	}
+	return nil
+}
+
+// Answered counts a response of a target that was sent completely.
+func (m *Metrics) Answered(route, account string, status int) {
+	m.count("answered", strconv.Itoa(status/100)+"xx", route, "")
+	m.count("served", account, "", "")
+}
+
+// Refused counts a refusal; route and account are empty while they are not known.
+func (m *Metrics) Refused(route, account string, r answer.Refusal) {
+	m.count("refused", string(r.Code), route, string(r.Run))
+	if account != "" {
+		m.count("denied", account, string(r.Code), "")
+	}
+}
+
+// Retried counts an attempt after the first one.
+func (m *Metrics) Retried(route string) { m.count("retried", route, "", "") }
+
+// Hedged counts a hedged attempt.
+func (m *Metrics) Hedged(route string) { m.count("hedged", route, "", "") }
+
+// Probed counts a probe that was sent to the target.
+func (m *Metrics) Probed() { m.count("probes", "", "", "") }
+
+// Waited records the time that a request spent in a stage.
+func (m *Metrics) Waited(stage Stage, d time.Duration) {
+	m.mu.RLock()
+	t, ok := m.timers[stage]
+	m.mu.RUnlock()
+	if !ok {
+		t = m.newTimer(stage)
+	}
+	t.Record(d)
+}
+
+// Version sets the version in force and the age of the evidence that it is the newest.
+func (m *Metrics) Version(version int64, age time.Duration) {
+	m.set("version", "", float64(version))
+	m.set("age", "", age.Seconds())
+}
+
+// Peers sets the number of other instances in each state.
+func (m *Metrics) Peers(live, leaving, unreachable int) {
+	m.set("peers", "live", float64(live))
+	m.set("peers", "leaving", float64(leaving))
+	m.set("peers", "unreachable", float64(unreachable))
+}
+
+// Load sets the load of the target beside the node.
+func (m *Metrics) Load(running, queued, limit int) {
+	m.set("running", "", float64(running))
+	m.set("queued", "", float64(queued))
+	m.set("limit", "", float64(limit))
+}
+
+// Probing sets the share of the target's time that probes use and may use.
+func (m *Metrics) Probing(used, budget float64) {
+	m.set("probing", "", used)
+	m.set("budget", "", budget)
+}
+
+func (m *Metrics) count(name, a, b, c string) {
+	k := series{name: name, a: a, b: b, c: c}
+	m.mu.RLock()
+	n, ok := m.counters[k]
+	m.mu.RUnlock()
+	if !ok {
+		n = m.newCounter(k)
+	}
+	n.Inc(1)
+}
+
+func (m *Metrics) newCounter(k series) tally.Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	values := []string{k.a, k.b, k.c}
+	tags := map[string]string{}
+	bounded := true
+	for i, label := range counters[k.name].labels {
+		tags[label] = m.bound(label, values[i])
+		bounded = bounded && tags[label] == values[i]
+	}
+	n := m.scope.Tagged(tags).Counter(k.name)
+	// Values beyond the bound are not kept as keys, so the map is bounded as well.
+	if bounded {
+		m.counters[k] = n
+	}
+	return n
+}
+
+func (m *Metrics) newTimer(stage Stage) tally.Timer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.scope.Tagged(map[string]string{"stage": m.bound("stage", string(stage))}).Timer("wait")
+	m.timers[stage] = t
+	return t
+}
+
+func (m *Metrics) set(name, value string, x float64) {
+	k := series{name: name, a: value}
+	m.mu.Lock()
+	g, ok := m.gauges[k]
+	if !ok {
+		tags := map[string]string{}
+		for _, label := range gauges[name].labels {
+			tags[label] = value
+		}
+		g = m.scope.Tagged(tags).Gauge(name)
+		m.gauges[k] = g
+	}
+	m.mu.Unlock()
+	g.Update(x)
+}
+
+// bound returns the value, or otherValue once the label has its most values.
+func (m *Metrics) bound(label, value string) string {
+	known := m.values[label]
+	if known == nil {
+		known = map[string]bool{}
+		m.values[label] = known
+	}
+	if !known[value] && len(known) >= maxValues {
+		return otherValue
+	}
+	known[value] = true
+	return value
+}
--- /dev/null
+++ b/node/operator/metrics_test.go
@@ -0,0 +1,83 @@
+package operator
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"verbenapin.dev/node/answer"
+)
+
+// TestMain guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// text closes the metrics, which reports the last values, and returns their text form.
+func text(t *testing.T, m *Metrics) string {
+	require.NoError(t, m.Close())
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	require.Equal(t, 200, w.Code)
+	return w.Body.String()
+}
+
+// TestMetrics guards against an event that is counted under the wrong name, label or unit.
+func TestMetrics(t *testing.T) {
+	cases := map[string]struct {
+		event func(m *Metrics)
+		want  []string
+	}{
+		"answered": {event: func(m *Metrics) { m.Answered("history", "lombardia", 204) }, want: []string{
+			`verbenapin_answered{class="2xx",route="history"} 1`, `verbenapin_served{account="lombardia"} 1`,
+		}},
+		"refused": {event: func(m *Metrics) { m.Refused("history", "lombardia", answer.MaybeRun(answer.Lost, "")) }, want: []string{
+			`verbenapin_refused{code="lost",route="history",run="maybe"} 1`, `verbenapin_denied{account="lombardia",code="lost"} 1`,
+		}},
+		"attempts": {event: func(m *Metrics) { m.Retried("history"); m.Hedged("history"); m.Hedged("history"); m.Probed() }, want: []string{
+			`verbenapin_retried{route="history"} 1`, `verbenapin_hedged{route="history"} 2`, `verbenapin_probes 1`,
+		}},
+		"wait": {event: func(m *Metrics) { m.Waited(StageQueue, 600*time.Microsecond) }, want: []string{
+			`verbenapin_wait_bucket{stage="queue",le="0.0004"} 0`, `verbenapin_wait_bucket{stage="queue",le="0.00068"} 1`,
+			`verbenapin_wait_sum{stage="queue"} 0.0006`,
+		}},
+		"gauges": {event: func(m *Metrics) {
+			m.Version(7, 1500*time.Millisecond)
+			m.Peers(5, 2, 1)
+			m.Load(3, 4, 12)
+			m.Probing(0.002, 0.005)
+		}, want: []string{
+			"verbenapin_version 7", "verbenapin_age 1.5", `verbenapin_peers{state="leaving"} 2`, "verbenapin_running 3",
+			"verbenapin_queued 4", "verbenapin_limit 12", "verbenapin_probing 0.002", "verbenapin_budget 0.005",
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			m, err := NewMetrics(0)
+			require.NoError(t, err)
+			tc.event(m)
+			got := text(t, m)
+			for _, line := range tc.want {
+				require.Contains(t, got, line+"\n")
+			}
+		})
+	}
+}
+
+// TestBound guards against memory that grows with the names seen, and against events lost beyond the bound.
+func TestBound(t *testing.T) {
+	m, err := NewMetrics(0)
+	require.NoError(t, err)
+	for i := range maxValues + 10 {
+		m.Retried(fmt.Sprintf("route%d", i))
+	}
+	m.Retried("route0")
+	require.Len(t, m.counters, maxValues)
+	got := text(t, m)
+	require.Contains(t, got, `verbenapin_retried{route="route0"} 2`+"\n")
+	require.Contains(t, got, `verbenapin_retried{route="other"} 10`+"\n")
+	require.Equal(t, maxValues+1, strings.Count(got, "verbenapin_retried{"))
+}
--- /dev/null
+++ b/node/operator/server.go
@@ -0,0 +1,170 @@
+// Package operator is the side of a node that faces operators: the admin listener and the metrics.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync"
+	"time"
+
+	"verbenapin.dev/node/answer"
+)
+
+const (
+	// healthTimeout is longer than any event of the control loop takes, so a node beyond it needs a restart.
+	healthTimeout = time.Second
+	// closeTimeout cuts off profiles, which may run for minutes.
+	closeTimeout = 2 * time.Second
+)
+
+// Seams are the parts of a node that the admin listener asks.
+type Seams struct {
+	// Health returns an error if the control loop does not respond before ctx ends.
+	Health func(ctx context.Context) error
+	// Ready tells whether the node should receive requests, and why not.
+	Ready func() (ready bool, reason string)
+	// State returns the state of the node.
+	State func(ctx context.Context) (State, error)
+	// Explain returns the values that decide on the requests of a query.
+	Explain func(ctx context.Context, q Query) ([]Fact, error)
+	// Metrics serves the metrics.
+	Metrics http.Handler
+}
+
+// Server answers on the admin listener.
+type Server struct {
+	seams    Seams
+	listener net.Listener
+	http     *http.Server
+	mu       sync.Mutex
+	closed   bool
+	running  sync.WaitGroup
+}
+
+// New returns a server on the listener, which it closes in the end; requests wait until Serve.
+func New(listener net.Listener, seams Seams) *Server {
+	s := &Server{seams: seams, listener: listener}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /ready", s.ready)
+	mux.HandleFunc("GET /state", s.state)
+	mux.HandleFunc("GET /explain", s.explain)
+	mux.Handle("GET /metrics", seams.Metrics)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	return s
+}
+
+// Serve answers requests until Close; the end of ctx cuts running requests off.
+func (s *Server) Serve(ctx context.Context) error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	s.running.Add(1)
+	s.mu.Unlock()
+	defer s.running.Done()
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	defer stop()
+	err := s.http.Serve(s.listener)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case errors.Is(err, http.ErrServerClosed):
+		return nil
+	default:
+		return fmt.Errorf("operator: serving: %w", err)
+	}
+}
+
+// Close stops the listener and waits for running requests, at most closeTimeout, and for Serve.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := s.http.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = s.http.Close()
+	}
+	s.running.Wait()
+	// The HTTP server does not know the listener if Serve was never called.
+	_ = s.listener.Close()
+	if err != nil {
+		return fmt.Errorf("operator: closing: %w", err)
+	}
+	return nil
+}
+
+type status struct {
+	OK     bool   `json:"ok"`
+	Reason string `json:"reason,omitempty"`
+}
+
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), healthTimeout)
+	defer cancel()
+	if err := s.seams.Health(ctx); err != nil {
+		write(w, http.StatusServiceUnavailable, status{Reason: err.Error()})
+		return
+	}
+	write(w, http.StatusOK, status{OK: true})
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := s.seams.Ready()
+	if !ready {
+		write(w, http.StatusServiceUnavailable, status{Reason: reason})
+		return
+	}
+	write(w, http.StatusOK, status{OK: true})
+}
+
+func (s *Server) state(w http.ResponseWriter, r *http.Request) {
+	state, err := s.seams.State(r.Context())
+	if err != nil {
+		write(w, http.StatusServiceUnavailable, status{Reason: err.Error()})
+		return
+	}
+	write(w, http.StatusOK, state)
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	form := r.URL.Query()
+	q := Query{Account: form.Get("account"), Route: form.Get("route"), Code: answer.Code(form.Get("code"))}
+	meaning, known := MeaningOf(q.Code)
+	if q.Code != "" && !known {
+		write(w, http.StatusBadRequest, status{Reason: "code is unknown: see docs/operators.md for the codes"})
+		return
+	}
+	facts, err := s.seams.Explain(r.Context(), q)
+	if err != nil {
+		write(w, http.StatusServiceUnavailable, status{Reason: err.Error()})
+		return
+	}
+	if facts == nil {
+		facts = []Fact{}
+	}
+	write(w, http.StatusOK, Explanation{
+		Account: q.Account, Route: q.Route, Code: q.Code,
+		Cause: meaning.Cause, Action: meaning.Action, Facts: facts,
+	})
+}
+
+func write(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/node/operator/server_test.go
@@ -0,0 +1,104 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/answer"
+)
+
+// serve starts a server on loopback and returns its base URL; the test closes it.
+func serve(t *testing.T, seams Seams) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := New(l, seams)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(context.Background()) }()
+	t.Cleanup(func() {
+		require.NoError(t, s.Close())
+		require.NoError(t, <-ended)
+		http.DefaultClient.CloseIdleConnections()
+	})
+	return "http://" + l.Addr().String()
+}
+
+// TestServer guards against an endpoint that answers with the wrong status or form.
+func TestServer(t *testing.T) {
+	working := Seams{
+		Health: func(context.Context) error { return nil },
+		Ready:  func() (bool, string) { return true, "" },
+		State:  func(context.Context) (State, error) { return State{Name: "a1", Version: 7}, nil },
+		Explain: func(_ context.Context, q Query) ([]Fact, error) {
+			return []Fact{{Name: "rate", Value: "50/s", From: "base"}}, nil
+		},
+		Metrics: http.NotFoundHandler(),
+	}
+	broken := Seams{
+		Health:  func(context.Context) error { return errors.New("loop: closed") },
+		Ready:   func() (bool, string) { return false, "no configuration" },
+		State:   func(context.Context) (State, error) { return State{}, errors.New("loop: closed") },
+		Explain: func(context.Context, Query) ([]Fact, error) { return nil, errors.New("loop: closed") },
+		Metrics: http.NotFoundHandler(),
+	}
+	rate, _ := MeaningOf(answer.Rate)
+	cases := map[string]struct {
+		seams Seams
+		path  string
+		code  int
+		want  string
+	}{
+		"health":          {seams: working, path: "/health", code: 200, want: `{"ok":true}`},
+		"not healthy":     {seams: broken, path: "/health", code: 503, want: `{"ok":false,"reason":"loop: closed"}`},
+		"ready":           {seams: working, path: "/ready", code: 200, want: `{"ok":true}`},
+		"not ready":       {seams: broken, path: "/ready", code: 503, want: `{"ok":false,"reason":"no configuration"}`},
+		"state":           {seams: working, path: "/state", code: 200, want: `"name":"a1"`},
+		"no state":        {seams: broken, path: "/state", code: 503, want: "loop: closed"},
+		"explain":         {seams: working, path: "/explain?account=x&code=rate", code: 200, want: `"account":"x","code":"rate","cause":"` + rate.Cause},
+		"explain a typo":  {seams: working, path: "/explain?code=rat", code: 400, want: "code is unknown"},
+		"explain nothing": {seams: broken, path: "/explain", code: 503, want: "loop: closed"},
+		"profile":         {seams: working, path: "/debug/pprof/goroutine?debug=1", code: 200, want: "goroutine profile"},
+		"metrics":         {seams: working, path: "/metrics", code: 404, want: "not found"},
+		"nothing there":   {seams: working, path: "/states", code: 404, want: "not found"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			res, err := http.Get(serve(t, tc.seams) + tc.path)
+			require.NoError(t, err)
+			body, err := io.ReadAll(res.Body)
+			require.NoError(t, err)
+			require.NoError(t, res.Body.Close())
+			require.Equal(t, tc.code, res.StatusCode)
+			require.Contains(t, string(body), tc.want)
+		})
+	}
+}
+
+// TestClose guards against a Close that waits forever or leaves the listener open when Serve was never called.
+func TestClose(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := New(l, Seams{Metrics: http.NotFoundHandler()})
+	require.NoError(t, s.Close())
+	require.NoError(t, s.Serve(context.Background()))
+	_, err = l.Accept()
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
+// TestMeanings guards against a code that operators cannot look up.
+func TestMeanings(t *testing.T) {
+	for _, code := range []answer.Code{
+		answer.Path, answer.Route, answer.Key, answer.Scope, answer.Rate, answer.Stale, answer.Empty,
+		answer.Busy, answer.Domain, answer.Late, answer.Lost, answer.Large, answer.Leaving,
+	} {
+		m, known := MeaningOf(code)
+		require.True(t, known, code)
+		require.NotEmpty(t, m.Cause)
+		require.NotEmpty(t, m.Action)
+	}
+}
