--- /dev/null
+++ b/node/journal/fields.go
@@ -0,0 +1,106 @@
+package journal
+
+import (
+	"errors"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"verbenapin.dev/node/answer"
+)
+
+const (
+	maxName  = 64
+	maxCause = 512
+)
+
+// Field is a named value of a line; only the functions of this package make one, so that no key or body becomes a field.
+type Field struct {
+	name  string
+	value any
+}
+
+// ID is the request id; an id of another form is not logged, because a caller may have put anything there.
+func ID(id string) Field { return Field{name: "id", value: plain(id)} }
+
+// Route is the name of a route.
+func Route(name string) Field { return Field{name: "route", value: plain(name)} }
+
+// Account is the name of a client account.
+func Account(name string) Field { return Field{name: "account", value: plain(name)} }
+
+// Instance is the name of another instance.
+func Instance(name string) Field { return Field{name: "instance", value: plain(name)} }
+
+// Domain is the name of a failure domain.
+func Domain(name string) Field { return Field{name: "domain", value: plain(name)} }
+
+// Part is the name of a part of the node or of a library.
+func Part(name string) Field { return Field{name: "part", value: plain(name)} }
+
+// Address is a network address.
+func Address(a netip.AddrPort) Field { return Field{name: "address", value: a.String()} }
+
+// Version is the number of a configuration version.
+func Version(n int64) Field { return Field{name: "version", value: n} }
+
+// Code is the code of a refusal.
+func Code(c answer.Code) Field { return Field{name: "code", value: string(c)} }
+
+// Run tells whether a refused request ran.
+func Run(r answer.Run) Field { return Field{name: "run", value: string(r)} }
+
+// Status is an HTTP status.
+func Status(n int) Field { return Field{name: "status", value: n} }
+
+// Count is a number of things.
+func Count(n int) Field { return Field{name: "count", value: n} }
+
+// Took is a time that passed, in milliseconds.
+func Took(d time.Duration) Field { return Field{name: "took", value: milliseconds(d)} }
+
+// Age is the age of evidence, in milliseconds.
+func Age(d time.Duration) Field { return Field{name: "age", value: milliseconds(d)} }
+
+// Cause is the error that led to a line; errors of this project contain no keys and no bodies.
+func Cause(err error) Field {
+	var failed *url.Error
+	// The URL of a failed request may contain a query with a secret.
+	if errors.As(err, &failed) {
+		err = failed.Err
+	}
+	return Field{name: "cause", value: cut(err.Error())}
+}
+
+func cut(text string) string {
+	if len(text) > maxCause {
+		return strings.ToValidUTF8(text[:maxCause], "") + "…"
+	}
+	return text
+}
+
+// plain returns s if it is a name of at most maxName bytes, and a note otherwise.
+func plain(s string) string {
+	if len(s) > maxName {
+		return "(too long)"
+	}
+	for _, r := range s {
+		if (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune("-_.:", r) {
+			return "(not a name)"
+		}
+	}
+	return s
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func logrusFields(fields []Field) logrus.Fields {
+	out := make(logrus.Fields, len(fields)+1)
+	for _, f := range fields {
+		out[f.name] = f.value
+	}
+	return out
+}
--- /dev/null
+++ b/node/journal/journal.go
@@ -0,0 +1,137 @@
+// Package journal writes the log of a node: JSON lines with typed fields, at a bounded rate.
+package journal
+
+import (
+	"io"
+	"log"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"verbenapin.dev/node/clock"
+)
+
+// Message is the text of a line; it must be a constant, so that lines of the same kind can be counted and no value becomes text.
+type Message string
+
+// libraryFault stands for a line of a library whose text may contain a part of a request.
+const libraryFault Message = "library reported a fault"
+
+// Journal writes lines; its methods may be called from any goroutine.
+type Journal struct {
+	log     *logrus.Logger
+	node    Field
+	ticking *clock.Subscription
+
+	mu     sync.Mutex
+	limits map[subject]Limit
+}
+
+// subject is what makes two lines the same for the limit.
+type subject struct {
+	level   logrus.Level
+	message Message
+}
+
+// New returns a journal of the named node that writes lines of the level and above to w.
+func New(w io.Writer, level logrus.Level, name string, c *clock.Clock) *Journal {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetLevel(level)
+	l.SetFormatter(&stamped{clock: c, json: logrus.JSONFormatter{
+		TimestampFormat: "2006-01-02T15:04:05.000000Z07:00",
+		FieldMap:        logrus.FieldMap{logrus.FieldKeyMsg: "text"},
+	}})
+	j := &Journal{log: l, node: Field{name: "node", value: plain(name)}, limits: map[subject]Limit{}}
+	j.ticking = c.Subscribe(period, func(_ time.Time) { j.report() })
+	return j
+}
+
+// stamped gives lines the time of the clock.
+type stamped struct {
+	clock *clock.Clock
+	json  logrus.JSONFormatter
+}
+
+// Format implements logrus.Formatter.
+func (s *stamped) Format(e *logrus.Entry) ([]byte, error) {
+	e.Time = s.clock.Now()
+	return s.json.Format(e)
+}
+
+// Debug writes a line that is of use only while looking for a fault; it is not limited, because it is off by default.
+func (j *Journal) Debug(m Message, fields ...Field) {
+	if j.log.IsLevelEnabled(logrus.DebugLevel) {
+		j.write(logrus.DebugLevel, m, fields)
+	}
+}
+
+// Info writes a line about a change that operators expect.
+func (j *Journal) Info(m Message, fields ...Field) { j.limited(logrus.InfoLevel, m, fields) }
+
+// Warn writes a line about a fault that the node handles.
+func (j *Journal) Warn(m Message, fields ...Field) { j.limited(logrus.WarnLevel, m, fields) }
+
+// Error writes a line about a fault that needs an operator.
+func (j *Journal) Error(m Message, fields ...Field) { j.limited(logrus.ErrorLevel, m, fields) }
+
+// Library returns a logger for a library that writes text of its own.
+// Only TLS handshake errors keep their text, because others may quote a request or a response.
+func (j *Journal) Library(name string) *log.Logger {
+	return log.New(libraryWriter{journal: j, name: name}, "", 0)
+}
+
+// Close reports the lines held back and ends the reports.
+func (j *Journal) Close() {
+	j.ticking.Close()
+	j.report()
+}
+
+func (j *Journal) limited(level logrus.Level, m Message, fields []Field) {
+	if !j.log.IsLevelEnabled(level) {
+		return
+	}
+	k := subject{level: level, message: m}
+	j.mu.Lock()
+	l, write := j.limits[k].WithLine()
+	j.limits[k] = l
+	j.mu.Unlock()
+	if write {
+		j.write(level, m, fields)
+	}
+}
+
+// report starts a new period and writes one line for each kind that was held back.
+func (j *Journal) report() {
+	j.mu.Lock()
+	limits := j.limits
+	j.limits = map[subject]Limit{}
+	j.mu.Unlock()
+	for k, l := range limits {
+		if n := l.Repeats(); n > 0 {
+			j.write(k.level, k.message, []Field{{name: "repeats", value: n}})
+		}
+	}
+}
+
+func (j *Journal) write(level logrus.Level, m Message, fields []Field) {
+	j.log.WithFields(logrusFields(append(fields[:len(fields):len(fields)], j.node))).Log(level, string(m))
+}
+
+type libraryWriter struct {
+	journal *Journal
+	name    string
+}
+
+// Write logs one line of the library.
+func (w libraryWriter) Write(p []byte) (int, error) {
+	const handshake = "http: TLS handshake error from "
+	fields := []Field{Part(w.name)}
+	if cause, ok := strings.CutPrefix(strings.TrimSpace(string(p)), handshake); ok {
+		fields = append(fields, Field{name: "cause", value: cut(cause)})
+	}
+	w.journal.Warn(libraryFault, fields...)
+	return len(p), nil
+}
--- /dev/null
+++ b/node/journal/journal_test.go
@@ -0,0 +1,98 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/clock"
+)
+
+// TestMain guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start returns a journal on a manual clock; the function returns the lines written since its last call.
+func start(level logrus.Level) (*Journal, *clock.Manual, func() []map[string]any) {
+	m := clock.NewManual(time.Unix(0, 0).UTC())
+	var out bytes.Buffer
+	j := New(&out, level, "a1", m.Clock())
+	return j, m, func() []map[string]any {
+		var lines []map[string]any
+		for line := range strings.Lines(out.String()) {
+			var fields map[string]any
+			if err := json.Unmarshal([]byte(line), &fields); err != nil {
+				panic(err)
+			}
+			lines = append(lines, fields)
+		}
+		out.Reset()
+		return lines
+	}
+}
+
+// TestLine guards against a field that is missing, misnamed or contains what a caller sent.
+func TestLine(t *testing.T) {
+	secret := &url.Error{Op: "Get", URL: "http://127.0.0.1/?key=secret", Err: errors.New("refused")}
+	cases := map[string]struct {
+		write func(j *Journal)
+		want  map[string]any
+	}{
+		"fields": {write: func(j *Journal) { j.Info("refused", ID("r-1"), Code(answer.Rate), Took(1500*time.Microsecond)) }, want: map[string]any{
+			"level": "info", "text": "refused", "id": "r-1", "code": "rate", "took": 1.5,
+		}},
+		"id with a key":  {write: func(j *Journal) { j.Warn("x", ID("Bearer secret")) }, want: map[string]any{"level": "warning", "text": "x", "id": "(not a name)"}},
+		"long id":        {write: func(j *Journal) { j.Warn("x", ID(strings.Repeat("a", 65))) }, want: map[string]any{"level": "warning", "text": "x", "id": "(too long)"}},
+		"cause with URL": {write: func(j *Journal) { j.Error("x", Cause(secret)) }, want: map[string]any{"level": "error", "text": "x", "cause": "refused"}},
+		"library": {write: func(j *Journal) { j.Library("http").Print("unsolicited response: secret") }, want: map[string]any{
+			"level": "warning", "text": "library reported a fault", "part": "http",
+		}},
+		"handshake": {write: func(j *Journal) { j.Library("http").Print("http: TLS handshake error from 127.0.0.1:9: EOF") }, want: map[string]any{
+			"level": "warning", "text": "library reported a fault", "part": "http", "cause": "127.0.0.1:9: EOF",
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			j, _, lines := start(logrus.InfoLevel)
+			defer j.Close()
+			tc.write(j)
+			j.Debug("not written")
+			got := lines()
+			require.Len(t, got, 1)
+			tc.want["node"] = "a1"
+			tc.want["time"] = "1970-01-01T00:00:00.000000Z"
+			require.Equal(t, tc.want, got[0])
+		})
+	}
+}
+
+// TestFlood guards against a fault that fills the log, and against one that hides how often it happened or hides another.
+func TestFlood(t *testing.T) {
+	j, m, lines := start(logrus.InfoLevel)
+	for range 100 {
+		j.Warn("target refused the connection")
+	}
+	j.Warn("part is missing")
+	require.Len(t, lines(), most+1)
+	m.Advance(period)
+	got := lines()
+	require.Len(t, got, 1)
+	require.Equal(t, "target refused the connection", got[0]["text"])
+	require.EqualValues(t, 100-most, got[0]["repeats"])
+	m.Advance(period)
+	require.Empty(t, lines())
+	for range most + 1 {
+		j.Warn("target refused the connection")
+	}
+	require.Len(t, lines(), most)
+	j.Close()
+	require.Len(t, lines(), 1)
+}
