Add spans, one per hop, sent over OTLP

Cause: operators want to see where a nested call spends its time.

Change: otlp.Tracer is off without an endpoint. A failed export is reported and not repeated, so an endpoint that is down does not hold up a shutdown. Inject writes traceparent only: tracestate passes unchanged, since retries are marked there. MarkRetry adds a traceparent that is not sampled where there is none, because applications drop a tracestate without one.

Conclusion: without an endpoint a hop allocates nothing (TestOff). With an Inject that never writes, TestTrace fails.

--- a/node/daemon/settings.go
+++ b/node/daemon/settings.go
@@ -47,7 +47,7 @@
 	CA      string `long:"ca" env:"VERBENAPIN_CA" value-name:"FILE" description:"Certificates of the authorities that sign the nodes of the fleet (PEM)"`
 	Grace   string `long:"grace" env:"VERBENAPIN_GRACE" value-name:"TIME" default:"30s" description:"Longest graceful shutdown, with unit, at least 3s and at most 1h"`
 	Log     string `long:"log" env:"VERBENAPIN_LOG" value-name:"LEVEL" default:"info" description:"Lowest level to log: debug, info, warn or error"`
-	Trace   string `long:"trace" env:"VERBENAPIN_TRACE" value-name:"URL" description:"OTLP endpoint for spans, such as http://127.0.0.1:4318/v1/traces (OTLP over HTTP); without it no span is recorded"`
+	Trace   string `long:"trace" env:"VERBENAPIN_TRACE" value-name:"URL" description:"OTLP endpoint for spans (OTLP over HTTP), such as http://127.0.0.1:4318, to which /v1/traces is added if it has no path; without it no span is recorded"`
 	Sample  string `long:"sample" env:"VERBENAPIN_SAMPLE" value-name:"PERCENT" default:"1%" description:"Share of requests to trace when the caller has not decided, 0% to 100%"`
 	Check   bool   `long:"check" env:"VERBENAPIN_CHECK" description:"Check the settings, print all faults and exit without starting anything"`
 }
--- /dev/null
+++ b/node/otlp/span.go
@@ -0,0 +1,102 @@
+package otlp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"verbenapin.dev/node/answer"
+)
+
+// Hop names one step of a request's way.
+type Hop string
+
+// Hops of a request.
+const (
+	HopCaller Hop = "caller" // the entry node, from the request head until the end of the response
+	HopPeer   Hop = "peer"   // one attempt, sent by the entry node to the target's node
+	HopGate   Hop = "gate"   // the target's node, from arrival until the end of the response
+	HopTarget Hop = "target" // the request to the target
+)
+
+func (h Hop) kind() trace.SpanKind {
+	switch h {
+	case HopCaller, HopGate:
+		return trace.SpanKindServer
+	default:
+		return trace.SpanKindClient
+	}
+}
+
+// Span records one hop; the zero Span records nothing.
+type Span struct{ span trace.Span }
+
+// Inject makes the span the parent of the next hop's span.
+// It leaves tracestate as it is, because the proxy passes it on and retries are marked there.
+func (s Span) Inject(h http.Header) {
+	if s.span == nil {
+		return
+	}
+	only := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(trace.ContextWithSpan(context.Background(), s.span), only)
+	h.Set("Traceparent", only["traceparent"])
+}
+
+// Request sets what the request was recognized as.
+func (s Span) Request(id, route, account string) {
+	if s.recording() {
+		s.span.SetAttributes(attribute.String("id", id), attribute.String("route", route), attribute.String("account", account))
+	}
+}
+
+// Chosen sets the target, why it was chosen, and the wait that was expected there.
+func (s Span) Chosen(target, reason string, wait time.Duration) {
+	if s.recording() {
+		s.span.SetAttributes(attribute.String("target", target), attribute.String("reason", reason), attribute.Float64("wait", milliseconds(wait)))
+	}
+}
+
+// Queued sets the time that the request waited beside the target.
+func (s Span) Queued(d time.Duration) {
+	if s.recording() {
+		s.span.SetAttributes(attribute.Float64("queued", milliseconds(d)))
+	}
+}
+
+// Attempt sets the number of the attempt, from 1.
+func (s Span) Attempt(n int) {
+	if s.recording() {
+		s.span.SetAttributes(attribute.Int("attempt", n))
+	}
+}
+
+// Answered sets the status of the response.
+func (s Span) Answered(status int) {
+	if s.recording() {
+		s.span.SetAttributes(attribute.Int("status", status))
+	}
+}
+
+// Refused marks the hop as failed.
+func (s Span) Refused(r answer.Refusal) {
+	if s.recording() {
+		s.span.SetAttributes(attribute.String("code", string(r.Code)), attribute.String("run", string(r.Run)))
+		s.span.SetStatus(codes.Error, string(r.Code))
+	}
+}
+
+// End ends the hop.
+func (s Span) End() {
+	if s.span != nil {
+		s.span.End()
+	}
+}
+
+func (s Span) recording() bool { return s.span != nil && s.span.IsRecording() }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/node/otlp/tracer_test.go
@@ -0,0 +1,166 @@
+package otlp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	tracev1 "go.opentelemetry.io/proto/otlp/trace/v1"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"verbenapin.dev/node/answer"
+)
+
+// TestMain guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	traceID = "0af7651916cd43dd8448eb211c80319c"
+	sampled = "00-" + traceID + "-b7ad6b7169203331-01"
+	dropped = "00-" + traceID + "-b7ad6b7169203331-00"
+)
+
+// receiver is a stand-in for an OTLP endpoint.
+type receiver struct {
+	*httptest.Server
+	mu    sync.Mutex
+	spans map[string]*tracev1.Span
+}
+
+func newReceiver(t *testing.T) *receiver {
+	r := &receiver{spans: map[string]*tracev1.Span{}}
+	r.Server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		var m collector.ExportTraceServiceRequest
+		if req.URL.Path != "/v1/traces" || proto.Unmarshal(body, &m) != nil {
+			panic("not an export of spans")
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, s := range m.ResourceSpans[0].ScopeSpans[0].Spans {
+			r.spans[s.Name] = s
+		}
+	}))
+	t.Cleanup(r.Close)
+	return r
+}
+
+// TestTrace guards against hops that are missing from the caller's trace, and against trace headers that get lost or changed.
+func TestTrace(t *testing.T) {
+	cases := map[string]struct {
+		on     bool
+		sample float64
+		parent string
+		spans  int
+		next   string // prefix of the next hop's traceparent
+	}{
+		"off":                    {parent: sampled, next: sampled},
+		"off without a parent":   {},
+		"caller samples":         {on: true, parent: sampled, spans: 2, next: "00-" + traceID},
+		"caller does not sample": {on: true, sample: 1, parent: dropped, next: "00-" + traceID},
+		"own decision to sample": {on: true, sample: 1, spans: 2, next: "00-"},
+		"own decision to drop":   {on: true, next: "00-"},
+		"parent is not a trace":  {on: true, sample: 1, parent: "bad", spans: 2, next: "00-"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newReceiver(t)
+			o := Options{Sample: tc.sample, Name: "a1"}
+			if tc.on {
+				u, err := url.Parse(r.URL)
+				require.NoError(t, err)
+				o.Endpoint = u
+			}
+			tracer, err := New(context.Background(), o)
+			require.NoError(t, err)
+			h := http.Header{"Tracestate": {"other=1", "verbenapin=r"}}
+			if tc.parent != "" {
+				h.Set("Traceparent", tc.parent)
+			}
+			ctx, outer := tracer.Start(tracer.Join(context.Background(), h), HopCaller)
+			outer.Request("r-1", "history", "lombardia")
+			_, inner := tracer.Start(ctx, HopPeer)
+			inner.Chosen("b1", "least expected wait", 2*time.Millisecond)
+			inner.Refused(answer.NotRun(answer.Busy, ""))
+			inner.Inject(h)
+			inner.End()
+			outer.End()
+			require.NoError(t, tracer.Close())
+			require.Equal(t, []string{"other=1", "verbenapin=r"}, h["Tracestate"])
+			require.True(t, strings.HasPrefix(h.Get("Traceparent"), tc.next), h.Get("Traceparent"))
+			require.Len(t, r.spans, tc.spans)
+			if tc.spans > 0 {
+				require.Equal(t, r.spans["caller"].SpanId, r.spans["peer"].ParentSpanId)
+				require.Equal(t, "target", r.spans["peer"].Attributes[0].Key)
+				require.Equal(t, "b1", r.spans["peer"].Attributes[0].Value.GetStringValue())
+				require.Equal(t, tracev1.Status_STATUS_CODE_ERROR, r.spans["peer"].Status.Code)
+			}
+		})
+	}
+}
+
+// TestOff guards against a tracer without an endpoint that costs memory on the request path.
+func TestOff(t *testing.T) {
+	tracer, err := New(context.Background(), Options{})
+	require.NoError(t, err)
+	h := http.Header{"Traceparent": {sampled}}
+	ctx := context.Background()
+	require.Zero(t, testing.AllocsPerRun(100, func() {
+		_, s := tracer.Start(tracer.Join(ctx, h), HopCaller)
+		s.Chosen("b1", "least expected wait", time.Millisecond)
+		s.Inject(h)
+		s.End()
+	}))
+	require.NoError(t, tracer.Close())
+}
+
+// TestEndpointDown guards against spans that are lost without notice.
+func TestEndpointDown(t *testing.T) {
+	r := newReceiver(t)
+	u, err := url.Parse(r.URL)
+	require.NoError(t, err)
+	r.Close()
+	faults := make(chan error, 1)
+	tracer, err := New(context.Background(), Options{Endpoint: u, Sample: 1, Fault: func(err error) { faults <- err }})
+	require.NoError(t, err)
+	_, s := tracer.Start(context.Background(), HopCaller)
+	s.End()
+	require.NoError(t, tracer.Close())
+	require.ErrorContains(t, <-faults, "refused")
+}
+
+// TestMarkRetry guards against a retry mark that applications drop, and against members of others that get lost.
+func TestMarkRetry(t *testing.T) {
+	cases := map[string]struct {
+		before http.Header
+		marked bool
+		state  string
+		kept   bool // traceparent stays
+	}{
+		"no trace":       {before: http.Header{}, state: "verbenapin=r"},
+		"bad trace":      {before: http.Header{"Traceparent": {"bad"}}, state: "verbenapin=r"},
+		"other vendors":  {before: http.Header{"Traceparent": {sampled}, "Tracestate": {"a=1, b=2", "c=3"}}, state: "verbenapin=r,a=1,b=2,c=3", kept: true},
+		"marked already": {before: http.Header{"Traceparent": {sampled}, "Tracestate": {"a=1,verbenapin=r"}}, marked: true, state: "verbenapin=r,a=1", kept: true},
+		"full":           {before: http.Header{"Tracestate": {strings.Repeat("a=1,", 32)}}, state: "verbenapin=r" + strings.Repeat(",a=1", 31)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := tc.before.Clone()
+			require.Equal(t, tc.marked, Retried(h))
+			MarkRetry(h)
+			require.True(t, Retried(h))
+			require.Equal(t, []string{tc.state}, h["Tracestate"])
+			require.Equal(t, tc.kept, h.Get("Traceparent") == tc.before.Get("Traceparent"))
+			require.Len(t, h.Get("Traceparent"), len(sampled))
+		})
+	}
+}
