--- /dev/null
+++ b/node/config/format.go
@@ -0,0 +1,283 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+)
+
+// Bounds of a declaration; they bound the memory and time of parsing on every node.
+const (
+	maxFile     = 8 << 20
+	maxProblems = 100
+	maxDepth    = 32 // parents of one route or account
+	maxNesting  = 64 // brackets of one file, far beyond the three levels of the format
+)
+
+// File is one declaration file.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// Problem is one fault of a declaration.
+type Problem struct {
+	File   string
+	Line   int // zero if the fault concerns no single line
+	Reason string
+}
+
+func (p Problem) String() string {
+	if p.Line == 0 {
+		return p.File + ": " + p.Reason
+	}
+	return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Reason)
+}
+
+// ParseError lists all faults of a declaration in the order of files and lines.
+type ParseError struct{ Problems []Problem }
+
+func (e ParseError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return "config: declaration rejected:\n" + strings.Join(lines, "\n")
+}
+
+// Origin tells where a value of a route or account was set.
+type Origin struct {
+	Name string // the route or account that sets it, itself or a parent
+	File string
+	Line int
+}
+
+// Kind distinguishes the sections of a declaration.
+type Kind string
+
+// Kinds of entries.
+const (
+	Routes   Kind = "routes"
+	Accounts Kind = "accounts"
+)
+
+type originKey struct {
+	kind        Kind
+	name, field string
+}
+
+// Origin returns the origin of a value by the field's name in the format; it reports false for defaults.
+func (t Tree) Origin(kind Kind, name, field string) (Origin, bool) {
+	o, ok := t.origins[originKey{kind, name, field}]
+	return o, ok
+}
+
+// setting is one value as written, before inheritance.
+type setting struct {
+	node ast.Node
+	from Origin
+}
+
+// entry is one route or account as written.
+type entry struct {
+	name   string
+	at     Origin
+	parent setting
+	fields map[string]setting
+}
+
+type reading struct {
+	fleet    map[string]setting
+	sections map[Kind]map[string]entry
+	problems []Problem
+}
+
+// Parse reads declarations and resolves inheritance; the error is a ParseError.
+// The verdict depends on the bytes only, so all nodes agree on it.
+func Parse(version int64, files []File) (Tree, error) {
+	r := &reading{
+		fleet:    map[string]setting{},
+		sections: map[Kind]map[string]entry{Routes: {}, Accounts: {}},
+	}
+	seen := map[string]bool{}
+	for _, f := range files {
+		if seen[f.Name] {
+			r.fail(f.Name, 0, "duplicate file")
+			continue
+		}
+		seen[f.Name] = true
+		r.file(f)
+	}
+	t := r.resolve(version)
+	if len(r.problems) > 0 {
+		order := map[string]int{}
+		for i, f := range files {
+			order[f.Name] = i
+		}
+		slices.SortFunc(r.problems, func(a, b Problem) int {
+			return cmp.Or(order[a.File]-order[b.File], a.Line-b.Line, strings.Compare(a.Reason, b.Reason))
+		})
+		r.problems = slices.Compact(r.problems)
+		return Tree{}, ParseError{Problems: r.problems[:min(len(r.problems), maxProblems)]}
+	}
+	return t, nil
+}
+
+func (r *reading) fail(file string, line int, format string, args ...any) {
+	r.problems = append(r.problems, Problem{File: file, Line: line, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (r *reading) failAt(o Origin, format string, args ...any) {
+	r.fail(o.File, o.Line, format, args...)
+}
+
+func (r *reading) file(f File) {
+	if len(f.Data) > maxFile {
+		r.fail(f.Name, 0, "larger than %d bytes", maxFile)
+		return
+	}
+	if n := nesting(f.Data); n > maxNesting {
+		r.fail(f.Name, 0, "nested more than %d deep", maxNesting)
+		return
+	}
+	parsed, err := parse(f.Data)
+	if err != nil {
+		line, reason := syntax(err)
+		r.fail(f.Name, line, "%s", reason)
+		return
+	}
+	body := documents(parsed)
+	if len(body) == 0 {
+		return
+	}
+	if len(body) > 1 {
+		r.fail(f.Name, lineOf(body[1]), "more than one document")
+		return
+	}
+	r.mapping(f.Name, "the file", body[0], func(name string, at Origin, value ast.Node) {
+		switch name {
+		case "fleet":
+			r.mapping(f.Name, name, value, func(field string, at Origin, value ast.Node) {
+				r.put(r.fleet, field, setting{node: value, from: at})
+			})
+		case string(Routes), string(Accounts):
+			r.section(f.Name, Kind(name), value)
+		default:
+			r.failAt(at, "unknown name %q", name)
+		}
+	})
+}
+
+func documents(parsed *ast.File) []ast.Node {
+	var body []ast.Node
+	for _, d := range parsed.Docs {
+		if d.Body == nil {
+			continue
+		}
+		if _, ok := d.Body.(*ast.CommentGroupNode); ok {
+			continue
+		}
+		body = append(body, d.Body)
+	}
+	return body
+}
+
+// parse turns a panic of the YAML library into an error, so that no bytes can stop a node.
+func parse(data []byte) (f *ast.File, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = SyntaxError{Line: 0, Reason: "not readable as YAML"}
+		}
+	}()
+	return parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+}
+
+func nesting(data []byte) int {
+	depth, most := 0, 0
+	for _, b := range data {
+		switch b {
+		case '{', '[':
+			depth++
+			most = max(most, depth)
+		case '}', ']':
+			depth--
+		}
+	}
+	return most
+}
+
+func (r *reading) section(file string, kind Kind, value ast.Node) {
+	r.mapping(file, string(kind), value, func(name string, at Origin, value ast.Node) {
+		if !isWord(name) {
+			r.failAt(at, "name %q is not one word of lower-case letters and digits", name)
+		}
+		if old, ok := r.sections[kind][name]; ok {
+			r.failAt(at, "duplicate name %q, first at %s:%d", name, old.at.File, old.at.Line)
+			return
+		}
+		e := entry{name: name, at: at, fields: map[string]setting{}}
+		r.mapping(file, name, value, func(field string, at Origin, value ast.Node) {
+			at.Name = name
+			if field != "parent" {
+				r.put(e.fields, field, setting{node: value, from: at})
+				return
+			}
+			if e.parent.node != nil {
+				r.failAt(at, "duplicate name %q", field)
+				return
+			}
+			e.parent = setting{node: value, from: at}
+		})
+		r.sections[kind][name] = e
+	})
+}
+
+func (r *reading) put(fields map[string]setting, name string, s setting) {
+	if old, ok := fields[name]; ok {
+		r.failAt(s.from, "duplicate name %q, first at %s:%d", name, old.from.File, old.from.Line)
+		return
+	}
+	fields[name] = s
+}
+
+// mapping calls each for the entries of a mapping; an empty value is an empty mapping.
+func (r *reading) mapping(file, what string, n ast.Node, each func(name string, at Origin, value ast.Node)) {
+	var values []*ast.MappingValueNode
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		values = m.Values
+	case *ast.MappingValueNode:
+		values = []*ast.MappingValueNode{m}
+	case *ast.NullNode:
+	default:
+		r.fail(file, lineOf(n), "%s: a mapping is required", what)
+	}
+	for _, v := range values {
+		at := Origin{File: file, Line: lineOf(v.Key)}
+		key, ok := v.Key.(*ast.StringNode)
+		if !ok {
+			r.failAt(at, "a plain name is required")
+			continue
+		}
+		each(key.Value, at, v.Value)
+	}
+}
+
+func lineOf(n ast.Node) int {
+	if n == nil {
+		return 0
+	}
+	return lineOfToken(n.GetToken())
+}
+
+func lineOfToken(t *token.Token) int {
+	if t == nil || t.Position == nil {
+		return 0
+	}
+	return t.Position.Line
+}
--- a/node/config/tree.go
+++ b/node/config/tree.go
@@ -62,6 +62,7 @@
 	hosts    map[string][]Route
 	accounts map[string]Account
 	keys     []keyEntry
+	origins  map[originKey]Origin
 }
 
 type keyEntry struct {
