--- a/node/daemon/main.go
+++ b/node/daemon/main.go
@@ -1,7 +1,49 @@
 // Package daemon assembles a node from its settings and runs it.
 package daemon
 
-// Main runs a node and returns its exit code.
-func Main([]string) int {
-	return 2
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Main runs a node until SIGTERM or SIGINT and returns its exit code.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := run(ctx, args, os.Stdout, os.Stderr)
+	report(os.Stdout, os.Stderr, err)
+	return ExitCode(err)
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) error {
+	settings, err := ParseSettings(args)
+	if err != nil {
+		return err
+	}
+	if settings.Check {
+		_, err := fmt.Fprintln(stdout, "settings are valid")
+		return err
+	}
+	n, err := New(settings, PolicyFromEnv(os.Getenv), stderr)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+// report prints what ended the node; help goes to the standard output.
+func report(stdout, stderr io.Writer, err error) {
+	var help HelpError
+	switch {
+	case err == nil:
+	case errors.As(err, &help):
+		_, _ = fmt.Fprintln(stdout, help.Text)
+	default:
+		_, _ = fmt.Fprintln(stderr, err)
+	}
 }
