--- /dev/null
+++ b/node/account/control.go
@@ -0,0 +1,268 @@
+package account
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/clock"
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/loop"
+)
+
+const (
+	// tickEvery is the period in which tokens are returned and loans expire.
+	tickEvery = 100 * time.Millisecond
+	// sendTimeout bounds one Take; a token that arrives later has lost a good part of its lease.
+	sendTimeout = 500 * time.Millisecond
+	// waitTimeout bounds the time that a request waits for tokens.
+	waitTimeout = 500 * time.Millisecond
+)
+
+// Limiter admits requests within the rate and burst of their accounts, and serves as a home of accounts.
+type Limiter struct {
+	// Send asks a home for tokens. It is called outside the control goroutine.
+	Send func(ctx context.Context, home string, take Take) (Grant, error)
+	// Mint tells on the control goroutine whether this home may mint (see Ledger.Allow).
+	Mint func(now time.Time) bool
+
+	self    string
+	loop    *loop.Loop
+	now     func() time.Time
+	start   time.Time
+	book    *Book
+	ledger  *Ledger
+	waiters map[string][]chan Decision
+	closed  bool // set on the control goroutine; no Take is sent after it
+	ctx     context.Context
+	cancel  context.CancelFunc
+	sends   sync.WaitGroup
+	tick    *clock.Subscription
+}
+
+// New returns a limiter of the node self, whose state lives on the given loop.
+func New(self string, l *loop.Loop, c *clock.Clock,
+	send func(ctx context.Context, home string, take Take) (Grant, error), mint func(now time.Time) bool,
+) *Limiter {
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Limiter{
+		Send: send, Mint: mint, self: self, loop: l, now: c.Now, start: c.Now(),
+		book: NewBook(rand.Uint64()), ledger: NewLedger(self, 0), waiters: map[string][]chan Decision{},
+		ctx: ctx, cancel: cancel,
+	}
+	a.tick = c.Subscribe(tickEvery, func(time.Time) { _ = l.Post(ctx, a.onTick) })
+	return a
+}
+
+// since returns the monotonic time since the start.
+func (a *Limiter) since(now time.Time) time.Duration { return now.Sub(a.start) }
+
+// Close ends the ticks and the Takes in flight and waits for them; requests that wait are refused.
+// It must be called before the loop is closed.
+func (a *Limiter) Close() {
+	a.cancel()
+	a.tick.Close()
+	_ = a.loop.Call(context.Background(), func(time.Time) {
+		a.closed = true
+		for account, waiting := range a.waiters {
+			for _, w := range waiting {
+				w <- Decision{}
+			}
+			delete(a.waiters, account)
+		}
+	})
+	a.sends.Wait()
+}
+
+// SetTree adopts a version. When it returns, this home's version may be announced to other homes, not earlier.
+func (a *Limiter) SetTree(ctx context.Context, t config.Tree) error {
+	shares, homes := NewShares(a.self, t), HomesOf(t)
+	err := a.loop.Call(ctx, func(now time.Time) {
+		a.ledger.SetShares(a.since(now), shares)
+		a.book.SetHomes(homes)
+	})
+	if err != nil {
+		return fmt.Errorf("account: adopting version %d: %w", t.Version(), err)
+	}
+	return nil
+}
+
+// SetKnown adopts the versions known of other homes, also of homes that the tree no longer lists.
+func (a *Limiter) SetKnown(ctx context.Context, known map[string]int64) error {
+	if err := a.loop.Call(ctx, func(now time.Time) { a.ledger.SetKnown(a.since(now), known) }); err != nil {
+		return fmt.Errorf("account: adopting versions of homes: %w", err)
+	}
+	return nil
+}
+
+// Take serves a Take as a home.
+func (a *Limiter) Take(ctx context.Context, take Take) (Grant, error) {
+	grants := make(chan Grant, 1)
+	err := a.loop.Call(ctx, func(now time.Time) {
+		a.ledger.Allow(a.since(now), a.Mint(now))
+		grants <- a.ledger.Take(a.since(now), take)
+	})
+	if err != nil {
+		return Grant{}, fmt.Errorf("account: serving a take: %w", err)
+	}
+	return <-grants, nil
+}
+
+// Pass is the permission for one request.
+type Pass struct {
+	limiter *Limiter
+	account string
+	token   Token
+	once    *sync.Once
+}
+
+// Confirm must be called immediately before a request is forwarded: after a pause of the process, the token
+// may have expired and been minted again elsewhere.
+func (p Pass) Confirm() error {
+	if p.token.Usable(p.limiter.since(p.limiter.now())) {
+		return nil
+	}
+	return answer.NotRun(answer.Rate, "the token expired before the request was forwarded").WithAfter(time.Millisecond)
+}
+
+// Refund returns the token of a request that did not run; it has no effect after the refund window or after Settle.
+func (p Pass) Refund() {
+	p.end(func(now time.Time) {
+		p.limiter.book.Refund(p.limiter.since(now), p.account, p.token)
+		p.limiter.resume(now, p.account)
+	})
+}
+
+// Settle tells that the request ran or may have run, so that its token is not kept for a refund.
+func (p Pass) Settle() {
+	p.end(func(now time.Time) { p.limiter.book.Settle(p.limiter.since(now), p.account, p.token) })
+}
+
+func (p Pass) end(event loop.Event) {
+	p.once.Do(func() { _ = p.limiter.loop.Post(p.limiter.ctx, event) })
+}
+
+// Spend admits a request of the account, waits a bounded time for tokens, or returns an answer.Refusal.
+func (a *Limiter) Spend(ctx context.Context, account string) (Pass, error) {
+	decided := make(chan Decision, 1)
+	err := a.loop.Call(ctx, func(now time.Time) {
+		if a.closed {
+			decided <- Decision{}
+			return
+		}
+		d, orders := a.book.Spend(a.since(now), account)
+		if d.Verdict == Wait {
+			a.waiters[account] = append(a.waiters[account], decided)
+		} else {
+			decided <- d
+		}
+		a.send(orders)
+	})
+	if err != nil {
+		a.abandon(account, decided)
+		return Pass{}, fmt.Errorf("account: spending: %w", err)
+	}
+	timer := time.NewTimer(waitTimeout)
+	defer timer.Stop()
+	select {
+	case d := <-decided:
+		return a.pass(account, d)
+	case <-ctx.Done():
+		err = fmt.Errorf("account: waiting for a token: %w", ctx.Err())
+	case <-timer.C:
+		err = refused(silence)
+	}
+	a.abandon(account, decided)
+	return Pass{}, err
+}
+
+func (a *Limiter) pass(account string, d Decision) (Pass, error) {
+	if d.Verdict != Admit && a.ctx.Err() != nil {
+		return Pass{}, answer.NotRun(answer.Leaving, "the node is shutting down")
+	}
+	if d.Verdict != Admit {
+		return Pass{}, refused(d.After)
+	}
+	return Pass{limiter: a, account: account, token: d.Token, once: &sync.Once{}}, nil
+}
+
+func refused(after time.Duration) error {
+	return answer.NotRun(answer.Rate, "the account is beyond its rate and burst").WithAfter(after)
+}
+
+// abandon ends the waiting of a request that has left, and refunds a token that it may have received meanwhile.
+func (a *Limiter) abandon(account string, decided chan Decision) {
+	_ = a.loop.Post(a.ctx, func(now time.Time) {
+		select {
+		case d := <-decided:
+			if d.Verdict == Admit {
+				a.book.Refund(a.since(now), account, d.Token)
+				a.resume(now, account)
+			}
+			return
+		default:
+		}
+		waiting := a.waiters[account]
+		for i, w := range waiting {
+			if w == decided {
+				a.waiters[account] = append(waiting[:i:i], waiting[i+1:]...)
+				a.book.Leave(account)
+			}
+		}
+		if len(a.waiters[account]) == 0 {
+			delete(a.waiters, account)
+		}
+	})
+}
+
+// resume decides on the requests of an account that wait, the oldest first.
+func (a *Limiter) resume(now time.Time, account string) {
+	waiting := a.waiters[account]
+	for len(waiting) > 0 {
+		d := a.book.Resume(a.since(now), account)
+		if d.Verdict == Wait {
+			break
+		}
+		waiting[0] <- d
+		waiting = waiting[1:]
+	}
+	if len(waiting) == 0 {
+		delete(a.waiters, account)
+		return
+	}
+	a.waiters[account] = waiting
+}
+
+// send runs on the control goroutine; each Take is sent on its own goroutine and its outcome comes back as an event.
+func (a *Limiter) send(orders []Order) {
+	for _, o := range orders {
+		if a.closed {
+			return
+		}
+		a.sends.Add(1)
+		go func() {
+			defer a.sends.Done()
+			ctx, cancel := context.WithTimeout(a.ctx, sendTimeout)
+			defer cancel()
+			grant, err := a.Send(ctx, o.Home, o.Take)
+			if err != nil {
+				grant = Grant{Seq: o.Take.Seq}
+			}
+			_ = a.loop.Post(a.ctx, func(now time.Time) {
+				a.send(a.book.Grant(a.since(now), o.Home, grant))
+				for _, row := range o.Take.Rows {
+					a.resume(now, row.Account)
+				}
+			})
+		}()
+	}
+}
+
+func (a *Limiter) onTick(now time.Time) {
+	a.ledger.Allow(a.since(now), a.Mint(now))
+	a.ledger.Tick(a.since(now))
+	a.send(a.book.Tick(a.since(now)))
+}
--- /dev/null
+++ b/node/account/ledger.go
@@ -0,0 +1,217 @@
+package account
+
+import (
+	"slices"
+	"time"
+
+	"verbenapin.dev/node/config"
+)
+
+type loanKey struct {
+	account string
+	session uint64
+}
+
+type dueLoan struct {
+	key loanKey
+	at  time.Duration
+}
+
+// Shares is a home's share of every account under one version, computed outside the control goroutine.
+type Shares struct {
+	version int64
+	others  []string
+	retired []string
+	limits  map[string]Limit
+}
+
+// NewShares returns the shares of a home under a tree.
+func NewShares(self string, t config.Tree) Shares {
+	s := Shares{version: t.Version(), retired: t.Fleet().Retired, limits: map[string]Limit{}}
+	for _, name := range t.Fleet().Homes {
+		if name != self {
+			s.others = append(s.others, name)
+		}
+	}
+	for _, a := range t.Accounts() {
+		if l := ShareOf(a, Homes(a, t.Fleet()), self); l != (Limit{}) {
+			s.limits[a.Name] = l
+		}
+	}
+	return s
+}
+
+// Ledger is a home's side: the shares it mints and the loans it gave. The control goroutine owns it.
+type Ledger struct {
+	self    string
+	first   int64
+	current Shares
+	listed  map[string]bool  // homes of all versions held
+	known   map[string]int64 // versions of homes, also of those no longer listed
+	lowest  int64            // version from which shares count
+	next    int64            // lowest version known of all homes
+	since   time.Duration    // when next was reached
+	shares  map[string]Share
+	homes   map[string]Home
+	loans   map[loanKey]Loan
+	due     []dueLoan
+	mint    bool
+	allowed time.Duration
+}
+
+// NewLedger returns the ledger of a home that has just started.
+func NewLedger(self string, now time.Duration) *Ledger {
+	return &Ledger{
+		self: self, since: now, listed: map[string]bool{}, known: map[string]int64{},
+		shares: map[string]Share{}, homes: map[string]Home{}, loans: map[loanKey]Loan{},
+	}
+}
+
+// SetShares adopts the shares of a higher version.
+func (l *Ledger) SetShares(now time.Duration, s Shares) {
+	if s.version <= l.current.version {
+		return
+	}
+	if l.first == 0 {
+		l.first = s.version
+	}
+	for _, name := range s.others {
+		l.listed[name] = true
+	}
+	for name, limit := range s.limits {
+		if _, ok := l.shares[name]; !ok {
+			share := Share{}
+			if l.first < s.version {
+				share = share.WithVersion(l.first, Limit{})
+			}
+			l.shares[name] = share.WithVersion(s.version, limit)
+			l.homes[name] = NewHome(now)
+		}
+	}
+	for name, share := range l.shares {
+		l.shares[name] = share.WithVersion(s.version, s.limits[name])
+	}
+	l.current = s
+	l.observe(now)
+	l.limit(now)
+}
+
+// SetKnown adopts the versions known of other homes; a new boot of a home may lower its version.
+func (l *Ledger) SetKnown(now time.Duration, known map[string]int64) {
+	for name, version := range known {
+		if name != l.self {
+			l.known[name] = version
+		}
+	}
+	l.observe(now)
+}
+
+// silent tells whether a home that is not retired has not been heard since the start.
+func (l *Ledger) silent() bool {
+	for name := range l.listed {
+		if _, ok := l.known[name]; !ok && !slices.Contains(l.current.retired, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// behind tells whether another home holds a higher version.
+func (l *Ledger) behind() bool {
+	for _, version := range l.known {
+		if version > l.current.version {
+			return true
+		}
+	}
+	return false
+}
+
+// observe updates the lowest known version. A lower one counts at once.
+// A higher one counts only when the loans given under the lower one have expired:
+// otherwise a home could mint its new share while tokens of the old shares can still be spent.
+// A home that has just started with an old version first adopts the newer one that it has been told of,
+// since the homes that hold the newer one may not have heard that this home lost it.
+func (l *Ledger) observe(now time.Duration) {
+	lowest := l.current.version
+	for name, version := range l.known {
+		if !slices.Contains(l.current.retired, name) {
+			lowest = min(lowest, version)
+		}
+	}
+	if lowest != l.next {
+		l.next, l.since = lowest, now
+	}
+	wait := homeTerm
+	if l.silent() {
+		wait = silentTerm
+	}
+	effective := min(l.lowest, l.next)
+	if now-l.since >= wait && (l.lowest > 0 || !l.behind()) {
+		effective = l.next
+	}
+	if effective != l.lowest {
+		l.lowest = effective
+		l.limit(now)
+	}
+}
+
+func (l *Ledger) limit(now time.Duration) {
+	for name, h := range l.homes {
+		if l.mint {
+			h = h.WithMint(now)
+		}
+		l.homes[name] = h.WithIdle(now).WithLimit(l.shares[name].Limit(l.lowest))
+	}
+}
+
+// Allow states whether this home may mint: its verdict is to serve, and it has heard more than half of the homes,
+// itself included, within Evidence and with versions not above its own. Time without permission mints nothing;
+// neither does a gap between calls longer than Evidence, which is a pause of the process.
+func (l *Ledger) Allow(now time.Duration, mint bool) {
+	if !mint || !l.mint || now-l.allowed > Evidence {
+		for name, h := range l.homes {
+			l.homes[name] = h.WithIdle(now)
+		}
+	}
+	l.mint, l.allowed = mint, now
+}
+
+// Tick drops loans that have expired and applies versions that have become safe.
+func (l *Ledger) Tick(now time.Duration) {
+	l.observe(now)
+	n := 0
+	for ; n < len(l.due) && l.due[n].at <= now; n++ {
+		key := l.due[n].key
+		loan := l.loans[key]
+		if loan.expires > now || loan.seq == 0 {
+			continue
+		}
+		delete(l.loans, key)
+		if h, ok := l.homes[key.account]; ok {
+			l.homes[key.account] = h.WithExpired(loan)
+		}
+	}
+	l.due = l.due[n:]
+}
+
+// Take applies a Take.
+func (l *Ledger) Take(now time.Duration, take Take) Grant {
+	l.Tick(now)
+	grant := Grant{Seq: take.Seq, Rows: make([]GrantRow, 0, len(take.Rows))}
+	for _, row := range take.Rows {
+		h, ok := l.homes[row.Account]
+		if !ok {
+			grant.Rows = append(grant.Rows, GrantRow{Account: row.Account, After: Window})
+			continue
+		}
+		key := loanKey{account: row.Account, session: take.Session}
+		old := l.loans[key]
+		h, loan, answer := h.WithTake(now, old, take.Seq, row, l.mint)
+		if loan.seq != old.seq {
+			l.homes[row.Account], l.loans[key] = h, loan
+			l.due = append(l.due, dueLoan{key: key, at: loan.expires})
+		}
+		grant.Rows = append(grant.Rows, answer)
+	}
+	return grant
+}
