--- /dev/null
+++ b/node/config/store.go
@@ -0,0 +1,431 @@
+package config
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/clock"
+	"verbenapin.dev/node/instance"
+	"verbenapin.dev/node/loop"
+	"verbenapin.dev/node/watch"
+)
+
+// Times and bounds of spreading versions.
+const (
+	tickEvery    = 200 * time.Millisecond
+	homeWait     = time.Second     // a home's watch; an answer held longer would be too old as evidence
+	quietTime    = 2 * time.Second // without a home's heartbeat a node reads the service itself
+	readEvery    = 2 * time.Second // mean interval of such reads
+	fetchTimeout = 2 * time.Second
+	offerTimeout = time.Second
+	retryPause   = time.Second
+	fanout       = 3 // log4 of 1,200 nodes is about 5 rounds
+	maxSources   = 4 // peers asked for one part
+)
+
+// Settings are what Store needs from the rest of the node.
+type Settings struct {
+	Name   string
+	Boot   uint32
+	Loop   *loop.Loop
+	Clock  *clock.Clock
+	Random func(n int) int
+	// View returns the view of the fleet; it is called on the control goroutine.
+	View func() instance.View
+	// Manifest reads the manifest from the configuration service; nil means that there is none.
+	Manifest func(ctx context.Context, etag string, wait time.Duration) (m Manifest, tag string, changed bool, err error)
+	// Part reads a part from the configuration service.
+	Part func(ctx context.Context, d Digest) ([]byte, error)
+	// Offer tells the node at addr of a version that the named instance holds.
+	Offer func(ctx context.Context, addr, name string, m Manifest) (int64, error)
+	// Fetch reads a manifest or part from the node at addr.
+	Fetch func(ctx context.Context, addr string, d Digest) ([]byte, error)
+	// Failed is told of errors, for the log.
+	Failed func(what string, err error)
+}
+
+// ConflictError reports two manifests under one number.
+type ConflictError struct {
+	Version int64
+	From    string
+	Digest  Digest
+}
+
+func (e ConflictError) Error() string {
+	return fmt.Sprintf("config: another manifest (%s) under version %d from %s; the first one stays", e.Digest, e.Version, e.From)
+}
+
+// Store holds the configuration of a node and spreads its versions.
+type Store struct {
+	s       Settings
+	version atomic.Pointer[Version]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	ticks   []*clock.Subscription
+	mu      sync.Mutex
+	closed  bool
+
+	// Owned by the control goroutine.
+	parts    map[Digest][]byte
+	fetching bool
+	hinting  bool
+	source   string // control address of the peer that offered the pending version, empty for the service
+	etag     string
+	seen     answered // the manifest that etag stands for
+	pace     *watch.Pace
+	onChange []func(now time.Time, t Tree)
+}
+
+// New returns a store that does nothing before Start.
+func New(s Settings) *Store {
+	// A random first read spreads the reads of a fleet that starts all at once.
+	first := s.Clock.Now().Add(time.Duration(s.Random(int(quietTime))))
+	c := &Store{s: s, pace: watch.NewPace(first), parts: map[Digest][]byte{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	v := NewVersion(s.Name, s.Boot)
+	c.version.Store(&v)
+	return c
+}
+
+// NewStatic returns a store with one tree and no other source; its node is its own only home.
+func NewStatic(s Settings, version int64, files []File) (*Store, error) {
+	m, parts, err := Pack(version, files)
+	if err != nil {
+		return nil, err
+	}
+	t, err := Build(m, parts)
+	if err != nil {
+		return nil, err
+	}
+	t.fleet.Homes, t.fleet.Retired = []string{s.Name}, nil
+	c := New(s)
+	c.parts = parts
+	v := c.Snapshot().WithStatic(m, t)
+	c.version.Store(&v)
+	return c, nil
+}
+
+// OnChange adds a function that is called on the control goroutine with each new tree; it must be added before Start.
+func (c *Store) OnChange(f func(now time.Time, t Tree)) { c.onChange = append(c.onChange, f) }
+
+// Start begins to read the service; with a static tree it announces that tree.
+func (c *Store) Start() {
+	if v := c.Snapshot(); v.static {
+		c.post(func(now time.Time) { c.announce(now, v.tree) })
+		return
+	}
+	tick := func(time.Time) { c.post(c.tick) }
+	c.ticks = append(c.ticks, c.s.Clock.Subscribe(tickEvery, tick))
+}
+
+// Close stops all calls and waits for them.
+func (c *Store) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.cancel()
+	for _, t := range c.ticks {
+		t.Close()
+	}
+	c.running.Wait()
+}
+
+// Snapshot returns what the node knows of versions; any goroutine may call it.
+func (c *Store) Snapshot() Version { return *c.version.Load() }
+
+// Verdict tells whether the node may serve now; any goroutine may call it.
+func (c *Store) Verdict() Verdict { return c.version.Load().Verdict(c.s.Clock.Now()) }
+
+// Current returns the tree, or a refusal if the node may not serve from it now; any goroutine may call it.
+func (c *Store) Current() (Tree, error) {
+	v := c.version.Load()
+	switch verdict := v.Verdict(c.s.Clock.Now()); verdict.Code {
+	case Empty:
+		return Tree{}, answer.NotRun(answer.Empty, verdict.Reason)
+	case Stale:
+		return Tree{}, answer.NotRun(answer.Stale, verdict.Reason)
+	default:
+		return v.tree, nil
+	}
+}
+
+// Homes returns what the node knows of each home that is not retired, itself included; any goroutine may call it.
+func (c *Store) Homes() []Home { return c.version.Load().Homes(c.s.Clock.Now()) }
+
+// Evidence returns what this node's heartbeat says of versions.
+func (c *Store) Evidence(now time.Time) instance.Evidence { return c.version.Load().Evidence(now) }
+
+// Beat takes the heartbeat of another node with ages as of at; it must be called on the control goroutine.
+func (c *Store) Beat(at time.Time, b instance.Beat) {
+	v := c.Snapshot().WithConfirm(at, b.Evidence)
+	c.version.Store(&v)
+	if b.Version > v.Number() && b.Version > v.Pending().Version && !c.hinting {
+		if row, ok := c.s.View().Row(b.Name); ok {
+			c.hint(row.Control, b.Name, b.Manifest)
+		}
+	}
+	if b.Version == v.Number() && b.Manifest != v.Digest() {
+		c.failed("heartbeat", ConflictError{Version: b.Version, From: b.Name, Digest: b.Manifest})
+	}
+}
+
+// Receive takes an offer of the named instance and returns what this node holds.
+func (c *Store) Receive(ctx context.Context, name string, m Manifest) (int64, Digest, error) {
+	var version int64
+	var d Digest
+	err := c.s.Loop.Call(ctx, func(now time.Time) {
+		if row, ok := c.s.View().Row(name); ok {
+			c.offer(now, row.Control, name, m)
+		}
+		v := c.Snapshot()
+		version, d = v.Number(), v.Digest()
+	})
+	if err != nil {
+		return 0, Digest{}, err
+	}
+	return version, d, nil
+}
+
+// Value returns the held manifest or one of its parts.
+func (c *Store) Value(ctx context.Context, d Digest) ([]byte, bool, error) {
+	var data []byte
+	var ok bool
+	err := c.s.Loop.Call(ctx, func(time.Time) {
+		v := c.Snapshot()
+		if v.Number() > 0 && d == v.Digest() {
+			data, ok = v.Manifest().Bytes(), true
+			return
+		}
+		data, ok = c.parts[d]
+	})
+	if err != nil {
+		return nil, false, err
+	}
+	return data, ok, nil
+}
+
+func (c *Store) tick(now time.Time) {
+	v := c.Snapshot()
+	if c.s.View().Read() && v.trying.IsZero() {
+		v = v.WithTrying(now)
+		c.version.Store(&v)
+	}
+	if c.s.Manifest == nil {
+		return
+	}
+	home := v.IsHome()
+	if !home && now.Sub(v.HomeHeard()) < quietTime {
+		return
+	}
+	if c.pace.Start(now) {
+		c.read(now, home)
+	}
+}
+
+func (c *Store) read(now time.Time, home bool) {
+	etag, wait := c.etag, time.Duration(0)
+	if home {
+		wait = homeWait
+	}
+	c.spawn(func() {
+		m, tag, changed, err := c.s.Manifest(c.ctx, etag, wait)
+		c.post(func(done time.Time) {
+			pause := time.Duration(0)
+			if !home {
+				pause = readEvery/2 + time.Duration(c.s.Random(int(readEvery)))
+			}
+			c.pace.Done(done, pause, err != nil)
+			if err != nil {
+				c.failed("reading the manifest", err)
+				return
+			}
+			if changed {
+				c.etag, c.seen = tag, answered{version: m.Version, digest: m.Digest()}
+				c.offer(done, "", "the configuration service", m)
+			}
+			v := c.Snapshot().WithAnswer(now, c.seen.version, c.seen.digest)
+			c.version.Store(&v)
+		})
+	})
+}
+
+// hint fetches the manifest that a heartbeat told of.
+func (c *Store) hint(addr, name string, d Digest) {
+	c.hinting = true
+	c.spawn(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+		defer cancel()
+		data, err := c.s.Fetch(ctx, addr, d)
+		var m Manifest
+		if err == nil {
+			m, err = ParseManifest(data)
+		}
+		c.post(func(now time.Time) {
+			c.hinting = false
+			if err != nil {
+				c.failed("fetching a manifest", err)
+				return
+			}
+			c.offer(now, addr, name, m)
+		})
+	})
+}
+
+func (c *Store) offer(now time.Time, addr, name string, m Manifest) {
+	v, decision := c.Snapshot().WithOffer(m)
+	c.version.Store(&v)
+	switch decision {
+	case Fetch:
+		c.source = addr
+		c.fetch(now)
+	case Conflict:
+		c.failed("offer", ConflictError{Version: m.Version, From: name, Digest: m.Digest()})
+	}
+}
+
+// fetch starts to collect the parts of the pending version unless another fetch is under way.
+func (c *Store) fetch(now time.Time) {
+	m := c.Snapshot().Pending()
+	if c.fetching || m.Version == 0 {
+		return
+	}
+	c.fetching = true
+	have := map[Digest][]byte{}
+	for _, d := range m.Digests() {
+		if data, ok := c.parts[d]; ok {
+			have[d] = data
+		}
+	}
+	sources := []string{c.source}
+	for _, i := range c.s.View().Pick(now, maxSources-1, c.s.Name, c.s.Random) {
+		sources = append(sources, i.Control)
+	}
+	if c.source != "" && c.s.Part != nil && c.Snapshot().IsHome() {
+		sources = append(sources, "")
+	}
+	c.spawn(func() {
+		err := c.collect(m, have, sources)
+		var t Tree
+		if err == nil {
+			t, err = Build(m, have)
+		}
+		c.post(func(now time.Time) { c.fetched(now, m, have, t, err) })
+	})
+}
+
+// PartError reports a part that no source had.
+type PartError struct{ Digest Digest }
+
+func (e PartError) Error() string { return "config: no source has part " + e.Digest.String() }
+
+func (c *Store) collect(m Manifest, have map[Digest][]byte, sources []string) error {
+	for _, d := range m.Digests() {
+		if _, ok := have[d]; ok {
+			continue
+		}
+		data, err := c.part(d, sources)
+		if err != nil {
+			return err
+		}
+		have[d] = data
+	}
+	return nil
+}
+
+func (c *Store) part(d Digest, sources []string) ([]byte, error) {
+	failures := []error{PartError{Digest: d}}
+	for _, addr := range sources {
+		data, err := c.partFrom(addr, d)
+		if err == nil && len(data) <= MaxPart && Digest(sha256.Sum256(data)) == d {
+			return data, nil
+		}
+		failures = append(failures, err)
+	}
+	return nil, errors.Join(failures...)
+}
+
+func (c *Store) partFrom(addr string, d Digest) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+	defer cancel()
+	if addr == "" {
+		return c.s.Part(ctx, d)
+	}
+	return c.s.Fetch(ctx, addr, d)
+}
+
+func (c *Store) fetched(now time.Time, m Manifest, parts map[Digest][]byte, t Tree, err error) {
+	c.fetching = false
+	before := c.Snapshot()
+	var invalid ParseError
+	switch {
+	case err == nil:
+		v := before.WithTree(m, t)
+		c.version.Store(&v)
+		if v.Number() > before.Number() {
+			c.parts = parts
+			c.announce(now, t)
+			c.push(now)
+		}
+	case errors.As(err, &invalid):
+		v := before.WithRejected(m)
+		c.version.Store(&v)
+		c.failed("building a version", err)
+	default:
+		v := before.WithoutPending(m)
+		c.version.Store(&v)
+		// The next answer of the service must offer the version again, for example once all parts are published.
+		c.etag = ""
+		c.pace.Hold(now, retryPause)
+		c.failed("fetching a version", err)
+	}
+	c.fetch(now)
+}
+
+func (c *Store) announce(now time.Time, t Tree) {
+	for _, f := range c.onChange {
+		f(now, t)
+	}
+}
+
+// push offers the held version to random peers, which push it on once they hold it.
+func (c *Store) push(now time.Time) {
+	m := c.Snapshot().Manifest()
+	for _, peer := range c.s.View().Pick(now, fanout, c.s.Name, c.s.Random) {
+		c.spawn(func() {
+			ctx, cancel := context.WithTimeout(c.ctx, offerTimeout)
+			defer cancel()
+			if _, err := c.s.Offer(ctx, peer.Control, c.s.Name, m); err != nil {
+				c.failed("offering a version", err)
+			}
+		})
+	}
+}
+
+func (c *Store) failed(what string, err error) {
+	if c.s.Failed != nil && c.ctx.Err() == nil {
+		c.s.Failed(what, err)
+	}
+}
+
+func (c *Store) post(run loop.Event) { _ = c.s.Loop.Post(c.ctx, run) }
+
+// spawn runs f on its own goroutine unless Close was called.
+func (c *Store) spawn(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		f()
+	}()
+}
--- /dev/null
+++ b/node/config/version.go
@@ -0,0 +1,372 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"verbenapin.dev/node/instance"
+)
+
+// Times of the version rule.
+const (
+	EvidenceAge = 5 * time.Second // a node serves only with younger evidence
+	settleTime  = 2 * time.Second // a fresh node tries its listed peers this long before the service's answer counts
+	forgetAge   = 10 * time.Second
+)
+
+// Code is the outcome of a verdict.
+type Code string
+
+// Codes of verdicts.
+const (
+	Serve Code = "serve"
+	Stale Code = "stale"
+	Empty Code = "empty"
+)
+
+// Verdict tells whether a node may serve from its tree.
+type Verdict struct {
+	Code   Code
+	Reason string
+}
+
+// Decision is what a node does with an offered manifest.
+type Decision string
+
+// Decisions on offers.
+const (
+	Fetch    Decision = "fetch"    // higher than all known: its parts are to be fetched
+	Same     Decision = "same"     // held or being fetched
+	Old      Decision = "old"      // lower than what the node holds or fetches
+	Conflict Decision = "conflict" // another manifest under a known number; the first one stays
+	Bad      Decision = "bad"      // rejected before
+)
+
+// Home is what a node knows of a home.
+type Home struct {
+	Name    string
+	Boot    uint32
+	Version int64 // highest version known for this boot, zero if the home was never heard
+	Heard   time.Time
+}
+
+type heard struct {
+	boot     uint32
+	version  int64
+	at       time.Time // the home sent a heartbeat at this time or later
+	agreeing time.Time // the same, with no version higher than the one held here
+}
+
+type answered struct {
+	version int64
+	digest  Digest
+	at      time.Time
+}
+
+// Version is what a node knows of the configuration's versions; it never changes.
+type Version struct {
+	self     string
+	boot     uint32
+	static   bool
+	held     Manifest
+	digest   Digest
+	tree     Tree
+	pending  Manifest
+	rejected Manifest
+	trying   time.Time
+	settled  bool
+	answer   answered
+	homes    map[uint32]heard
+
+	// Computed from the above on each change, since each request asks for the verdict.
+	majority  time.Time // more than half of the homes were heard at this time or later
+	alone     bool      // this node is more than half of the homes
+	confirmed time.Time // the service confirmed the held version at this time or later
+}
+
+// NewVersion returns the state of a node that has just started.
+func NewVersion(self string, boot uint32) Version {
+	return Version{self: self, boot: boot}
+}
+
+// WithStatic returns v with a tree that has no other source than this node, which is its own only home.
+func (v Version) WithStatic(m Manifest, t Tree) Version {
+	v.static, v.held, v.digest, v.tree = true, m, m.Digest(), t
+	return v
+}
+
+// Number returns the number of the held version, zero if there is none.
+func (v Version) Number() int64 { return v.held.Version }
+
+// Manifest returns the held manifest.
+func (v Version) Manifest() Manifest { return v.held }
+
+// Digest returns the digest of the held manifest.
+func (v Version) Digest() Digest { return v.digest }
+
+// Tree returns the held tree.
+func (v Version) Tree() Tree { return v.tree }
+
+// Pending returns the manifest whose parts are being fetched; its version is zero if there is none.
+func (v Version) Pending() Manifest { return v.pending }
+
+// IsHome tells whether the held tree names this node as a home that is not retired.
+func (v Version) IsHome() bool { return slices.Contains(v.tree.fleet.Active(), v.self) }
+
+// WithOffer returns v after a manifest was offered by a peer or the service.
+func (v Version) WithOffer(m Manifest) (Version, Decision) {
+	if v.static {
+		return v, Old
+	}
+	d := m.Digest()
+	for _, known := range []Manifest{v.held, v.pending} {
+		if m.Version != known.Version {
+			continue
+		}
+		if d != known.Digest() {
+			return v, Conflict
+		}
+		return v, Same
+	}
+	switch {
+	case m.Version < v.held.Version || m.Version < v.pending.Version:
+		return v, Old
+	case v.rejected.Version > 0 && d == v.rejected.Digest():
+		return v, Bad
+	}
+	v.pending = m
+	return v, Fetch
+}
+
+// WithTree returns v after all parts of a manifest arrived and its tree was built; a lower version changes nothing.
+func (v Version) WithTree(m Manifest, t Tree) Version {
+	if v.static || m.Version <= v.held.Version {
+		return v
+	}
+	v.held, v.digest, v.tree = m, m.Digest(), t
+	if v.pending.Version <= m.Version {
+		v.pending = Manifest{}
+	}
+	homes := make(map[uint32]heard, len(v.homes))
+	for id, h := range v.homes {
+		if h.version <= m.Version {
+			h.agreeing = h.at
+		}
+		homes[id] = h
+	}
+	v.homes = homes
+	return v.computed()
+}
+
+// WithoutPending returns v after the parts of a manifest could not be had; a later offer starts again.
+func (v Version) WithoutPending(m Manifest) Version {
+	if v.pending.Version == m.Version {
+		v.pending = Manifest{}
+	}
+	return v
+}
+
+// WithRejected returns v after the parts of a manifest were found to be no valid tree.
+// Another manifest may follow under the same number, since no node adopted this one.
+func (v Version) WithRejected(m Manifest) Version {
+	v.rejected = m
+	if v.answer.version == m.Version && v.answer.digest == m.Digest() {
+		v.answer.version, v.answer.digest = v.held.Version, v.digest
+	}
+	return v.WithoutPending(m).computed()
+}
+
+// WithTrying returns v after the node began to contact its listed peers.
+func (v Version) WithTrying(now time.Time) Version {
+	if v.trying.IsZero() {
+		v.trying = now
+	}
+	return v
+}
+
+// WithAnswer returns v after the configuration service answered a request sent at the given time with a version.
+func (v Version) WithAnswer(sent time.Time, version int64, d Digest) Version {
+	if v.rejected.Version == version && version > 0 && v.rejected.Digest() == d {
+		version, d = v.held.Version, v.digest // a rejected version leaves the held one in force
+	}
+	return v.withAnswer(answered{version: version, digest: d, at: sent}).computed()
+}
+
+// withAnswer keeps the answer with the highest version; an older version is no evidence.
+func (v Version) withAnswer(a answered) Version {
+	if a.version < v.held.Version || (a.version == v.held.Version && a.digest != v.digest) {
+		return v
+	}
+	same := a.version == v.answer.version && a.digest == v.answer.digest
+	held := a.version == v.held.Version
+	switch {
+	case same:
+		if a.at.After(v.answer.at) {
+			v.answer.at = a.at
+		}
+	case a.version > v.answer.version || (held && a.version == v.answer.version):
+		v.answer = a
+	}
+	return v
+}
+
+// WithConfirm returns v after a heartbeat whose ages are as of the given time.
+func (v Version) WithConfirm(at time.Time, e instance.Evidence) Version {
+	if v.static {
+		return v
+	}
+	if e.Confirmed {
+		v = v.withAnswer(answered{version: e.Version, digest: e.Manifest, at: at.Add(-e.Age)})
+	}
+	homes := maps.Clone(v.homes)
+	if homes == nil {
+		homes = map[uint32]heard{}
+	}
+	for _, row := range e.Homes {
+		if row.Age > forgetAge || row.ID == HomeID(v.self) {
+			continue
+		}
+		homes[row.ID] = v.withRow(homes[row.ID], at.Add(-row.Age), row)
+	}
+	v.homes = v.bounded(homes, at)
+	return v.computed()
+}
+
+// withRow takes the report that the home itself sent last; for one boot its version only rises.
+func (v Version) withRow(h heard, at time.Time, row instance.Home) heard {
+	if h.boot != row.Boot || h.at.IsZero() {
+		if !h.at.IsZero() && !at.After(h.at) {
+			return h
+		}
+		h = heard{boot: row.Boot, agreeing: h.agreeing}
+	}
+	h.version = max(h.version, row.Version)
+	h.at = laterOf(h.at, at)
+	if row.Version <= v.held.Version {
+		h.agreeing = laterOf(h.agreeing, at)
+	}
+	return h
+}
+
+// bounded drops reports of instances that are no homes in the held tree and no longer heard.
+// Reports of homes stay however old they are: a silent home may still lend under the version it last had.
+func (v Version) bounded(homes map[uint32]heard, now time.Time) map[uint32]heard {
+	keep := map[uint32]bool{}
+	for _, name := range v.tree.fleet.Homes {
+		keep[HomeID(name)] = true
+	}
+	for id, h := range homes {
+		if !keep[id] && (now.Sub(h.at) > forgetAge || len(homes) > instance.MaxHomes) {
+			delete(homes, id)
+		}
+	}
+	return homes
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (v Version) computed() Version {
+	v.majority, v.alone, v.confirmed = time.Time{}, false, time.Time{}
+	if v.answer.version == v.held.Version && v.answer.digest == v.digest {
+		v.confirmed = v.answer.at
+	}
+	active := v.tree.fleet.Active()
+	need := len(active)/2 + 1
+	var times []time.Time
+	for _, name := range active {
+		if name == v.self {
+			need--
+			continue
+		}
+		if h := v.homes[HomeID(name)]; !h.agreeing.IsZero() {
+			times = append(times, h.agreeing)
+		}
+	}
+	switch {
+	case need == 0:
+		v.alone = true
+	case len(times) >= need:
+		slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+		v.majority = times[need-1]
+	}
+	v.settled = v.settled || v.alone || !v.majority.IsZero()
+	return v
+}
+
+// Verdict tells whether the node may serve at the given time; the age of the evidence is computed here.
+func (v Version) Verdict(now time.Time) Verdict {
+	switch {
+	case v.held.Version == 0:
+		return Verdict{Code: Empty, Reason: "no version has arrived yet"}
+	case v.static:
+		return Verdict{Code: Serve, Reason: "the tree is static"}
+	case v.alone:
+		return Verdict{Code: Serve, Reason: "this node is the only home"}
+	case fresh(now, v.majority):
+		return Verdict{Code: Serve, Reason: "more than half of the homes were heard"}
+	case fresh(now, v.confirmed) && v.hasTried(now):
+		return Verdict{Code: Serve, Reason: "the configuration service confirmed the version"}
+	case fresh(now, v.confirmed):
+		return Verdict{Code: Stale, Reason: "fresh node, listed peers not tried long enough"}
+	}
+	return Verdict{Code: Stale, Reason: fmt.Sprintf("no evidence younger than %s that version %d is the newest", EvidenceAge, v.held.Version)}
+}
+
+func fresh(now, at time.Time) bool { return !at.IsZero() && now.Sub(at) < EvidenceAge }
+
+func (v Version) hasTried(now time.Time) bool {
+	return v.settled || (!v.trying.IsZero() && now.Sub(v.trying) >= settleTime)
+}
+
+// MajorityHeard tells whether more than half of the homes, this node included if it is one, were heard within EvidenceAge.
+func (v Version) MajorityHeard(now time.Time) bool {
+	return v.static || v.alone || fresh(now, v.majority)
+}
+
+// HomeHeard returns when the most recently heard home sent its heartbeat, zero if none was heard.
+func (v Version) HomeHeard() time.Time {
+	var at time.Time
+	for _, h := range v.homes {
+		at = laterOf(at, h.at)
+	}
+	return at
+}
+
+// Homes returns what the node knows of each home of the held tree that is not retired, itself included, in the tree's order.
+func (v Version) Homes(now time.Time) []Home {
+	var out []Home
+	for _, name := range v.tree.fleet.Active() {
+		if name == v.self {
+			out = append(out, Home{Name: name, Boot: v.boot, Version: v.held.Version, Heard: now})
+			continue
+		}
+		h := v.homes[HomeID(name)]
+		out = append(out, Home{Name: name, Boot: h.boot, Version: h.version, Heard: h.at})
+	}
+	return out
+}
+
+// Evidence returns what this node's heartbeat says of versions.
+func (v Version) Evidence(now time.Time) instance.Evidence {
+	e := instance.Evidence{Version: v.held.Version, Manifest: v.digest}
+	if fresh(now, v.confirmed) {
+		e.Confirmed, e.Age = true, now.Sub(v.confirmed)
+	}
+	if v.IsHome() {
+		e.Homes = append(e.Homes, instance.Home{ID: HomeID(v.self), Boot: v.boot, Version: v.held.Version})
+	}
+	for _, id := range slices.Sorted(maps.Keys(v.homes)) {
+		h := v.homes[id]
+		if age := now.Sub(h.at); age <= forgetAge && len(e.Homes) < instance.MaxHomes {
+			e.Homes = append(e.Homes, instance.Home{ID: id, Boot: h.boot, Version: h.version, Age: age})
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/node/instance/members.go
@@ -0,0 +1,246 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"verbenapin.dev/node/clock"
+	"verbenapin.dev/node/loop"
+	"verbenapin.dev/node/watch"
+)
+
+// Times and bounds of heartbeats.
+const (
+	// beatEvery spreads the three peers of each second, because evenly spread exchanges reach the last node sooner.
+	beatEvery     = time.Second / 3
+	beatTimeout   = time.Second
+	maxBeats      = 4 // under way at once
+	listWait      = 30 * time.Second
+	neighbours    = 8 // peers with a connection, so that 1,200 nodes need no 1,200 connections each
+	neighbourTime = 10 * time.Second
+)
+
+// Settings are what Members needs from the rest of the node.
+type Settings struct {
+	Name   string
+	Boot   uint32
+	Loop   *loop.Loop
+	Clock  *clock.Clock
+	Random func(n int) int
+	// List reads the instance list; nil means a node without peers.
+	List func(ctx context.Context, etag string, wait time.Duration) ([]Instance, string, error)
+	// Exchange sends a heartbeat and returns the answer with ages as of its return.
+	Exchange func(ctx context.Context, addr string, own Beat) (Beat, error)
+	// Refused tells whether an error of Exchange means that the connection was refused.
+	Refused func(err error) bool
+	// Evidence fills in what the heartbeat says of versions; it is called on the control goroutine.
+	Evidence func(now time.Time) Evidence
+	// Failed is told of errors, for the log.
+	Failed func(what string, err error)
+}
+
+// Members keeps the view of the fleet up to date.
+type Members struct {
+	s       Settings
+	view    atomic.Pointer[View]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	ticks   []*clock.Subscription
+	mu      sync.Mutex
+	closed  bool
+
+	// Owned by the control goroutine.
+	leaving bool
+	etag    string
+	pace    *watch.Pace
+	beats   int
+	near    []string
+	renewed time.Time
+	onView  []func(now time.Time, v View)
+	onBeat  []func(at time.Time, b Beat)
+}
+
+// New returns members that do nothing before Start.
+func New(s Settings) *Members {
+	m := &Members{s: s, pace: watch.NewPace(s.Clock.Now())}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	m.view.Store(&View{})
+	return m
+}
+
+// OnView adds a function that is called on the control goroutine after each change of the view; it must be added before Start.
+func (m *Members) OnView(f func(now time.Time, v View)) { m.onView = append(m.onView, f) }
+
+// OnBeat adds a function that is called on the control goroutine with each heartbeat; its ages are as of at.
+// It must be added before Start.
+func (m *Members) OnBeat(f func(at time.Time, b Beat)) { m.onBeat = append(m.onBeat, f) }
+
+// Start begins to read the list and to send heartbeats.
+func (m *Members) Start() {
+	if m.s.List == nil {
+		return
+	}
+	tick := func(time.Time) { _ = m.s.Loop.Post(m.ctx, m.tick) }
+	tick(time.Time{})
+	m.ticks = append(m.ticks, m.s.Clock.Subscribe(beatEvery, tick))
+}
+
+// Close stops all calls and waits for them.
+func (m *Members) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	m.cancel()
+	for _, t := range m.ticks {
+		t.Close()
+	}
+	m.running.Wait()
+}
+
+// Snapshot returns the current view; any goroutine may call it.
+func (m *Members) Snapshot() View { return *m.view.Load() }
+
+// Leave marks this node as leaving in all further heartbeats.
+func (m *Members) Leave(ctx context.Context) error {
+	return m.s.Loop.Call(ctx, func(time.Time) { m.leaving = true })
+}
+
+// Contact records what a call to an instance showed; callers report successes at most once a second per instance.
+func (m *Members) Contact(ctx context.Context, name string, outcome Outcome) error {
+	at := m.s.Clock.Now()
+	return m.s.Loop.Post(ctx, func(now time.Time) { m.publish(now, m.Snapshot().WithContact(at, name, outcome)) })
+}
+
+// Own returns this node's heartbeat for the answer to another node.
+func (m *Members) Own(ctx context.Context) (Beat, error) {
+	var own Beat
+	if err := m.s.Loop.Call(ctx, func(now time.Time) { own = m.own(now) }); err != nil {
+		return Beat{}, err
+	}
+	return own, nil
+}
+
+// Receive takes the heartbeat of another node, with ages as of at.
+func (m *Members) Receive(ctx context.Context, at time.Time, b Beat) error {
+	return m.s.Loop.Post(ctx, func(now time.Time) { m.receive(now, at, b) })
+}
+
+func (m *Members) own(now time.Time) Beat {
+	b := Beat{Name: m.s.Name, Boot: m.s.Boot, Leaving: m.leaving}
+	if m.s.Evidence != nil {
+		b.Evidence = m.s.Evidence(now)
+	}
+	return b
+}
+
+func (m *Members) receive(now, at time.Time, b Beat) {
+	if b.Name == m.s.Name {
+		return
+	}
+	m.publish(now, m.Snapshot().WithBeat(at, b))
+	for _, f := range m.onBeat {
+		f(at, b)
+	}
+}
+
+func (m *Members) publish(now time.Time, v View) {
+	m.view.Store(&v)
+	for _, f := range m.onView {
+		f(now, v)
+	}
+}
+
+func (m *Members) tick(now time.Time) {
+	if m.pace.Start(now) {
+		m.readList(m.etag)
+	}
+	if m.beats >= maxBeats {
+		return
+	}
+	if peer, ok := m.next(now); ok {
+		m.beats++
+		own := m.own(now)
+		m.spawn(func() { m.exchange(peer, own) })
+	}
+}
+
+// next returns a random neighbour; the oldest neighbour is replaced from time to time, so that all nodes mix.
+func (m *Members) next(now time.Time) (Instance, bool) {
+	v := m.Snapshot()
+	m.near = slices.DeleteFunc(m.near, func(name string) bool { return v.Status(now, name) != Present })
+	if len(m.near) >= neighbours && now.Sub(m.renewed) >= neighbourTime {
+		m.near = m.near[1:]
+		m.renewed = now
+	}
+	if len(m.near) < neighbours {
+		for _, i := range v.Pick(now, neighbours+1, m.s.Name, m.s.Random) {
+			if len(m.near) < neighbours && !slices.Contains(m.near, i.Name) {
+				m.near = append(m.near, i.Name)
+			}
+		}
+	}
+	if len(m.near) == 0 {
+		return Instance{}, false
+	}
+	return v.Row(m.near[m.s.Random(len(m.near))])
+}
+
+func (m *Members) exchange(peer Instance, own Beat) {
+	ctx, cancel := context.WithTimeout(m.ctx, beatTimeout)
+	defer cancel()
+	got, err := m.s.Exchange(ctx, peer.Control, own)
+	at := m.s.Clock.Now()
+	m.post(func(now time.Time) {
+		m.beats--
+		switch {
+		case err == nil:
+			m.receive(now, at, got)
+		case m.s.Refused != nil && m.s.Refused(err):
+			m.publish(now, m.Snapshot().WithContact(at, peer.Name, Refused))
+		default:
+			m.publish(now, m.Snapshot().WithContact(at, peer.Name, Silent))
+		}
+	})
+}
+
+func (m *Members) readList(etag string) {
+	m.spawn(func() {
+		list, got, err := m.s.List(m.ctx, etag, listWait)
+		m.post(func(now time.Time) {
+			m.pace.Done(now, 0, err != nil)
+			if err != nil {
+				m.failed("reading the instance list", err)
+				return
+			}
+			if got != etag || etag == "" {
+				m.publish(now, m.Snapshot().WithList(now, list))
+			}
+		})
+	})
+}
+
+func (m *Members) failed(what string, err error) {
+	if m.s.Failed != nil && m.ctx.Err() == nil {
+		m.s.Failed(what, err)
+	}
+}
+
+func (m *Members) post(run loop.Event) { _ = m.s.Loop.Post(m.ctx, run) }
+
+// spawn runs f on its own goroutine unless Close was called.
+func (m *Members) spawn(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return
+	}
+	m.running.Add(1)
+	go func() {
+		defer m.running.Done()
+		f()
+	}()
+}
--- /dev/null
+++ b/node/instance/view.go
@@ -0,0 +1,205 @@
+package instance
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Times of the membership rule.
+const (
+	ContactAge = 3 * time.Second  // a younger contact overrides the list
+	LeavingAge = 60 * time.Second // twice the default limit of a graceful shutdown; a mark is then the list's matter again
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 5 * time.Second
+)
+
+// Outcome is what a call to an instance showed.
+type Outcome string
+
+// Outcomes of calls.
+const (
+	Answered Outcome = "answered"
+	Refused  Outcome = "refused" // the connection was refused
+	Silent   Outcome = "silent"  // no answer in time
+	Leaves   Outcome = "leaves"  // an answer that says the instance is leaving
+)
+
+// Status is what the node concludes about an instance.
+type Status string
+
+// Statuses of instances.
+const (
+	Present Status = "present"
+	Going   Status = "leaving" // announced by itself or by the list
+	Quiet   Status = "quiet"   // paused or cut off, which look the same
+	Crashed Status = "crashed" // connections are refused
+	Unknown Status = "unknown"
+)
+
+// mark is what this node observed of one instance.
+type mark struct {
+	boot     uint32
+	contact  time.Time
+	leaving  time.Time
+	failed   time.Time // last failure after the last contact
+	failures int
+	refused  bool
+}
+
+func (m mark) backoff() time.Duration {
+	return min(minBackoff<<min(m.failures-1, 10), maxBackoff)
+}
+
+func (m mark) newest() time.Time {
+	return latest(latest(m.contact, m.leaving), m.failed)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// View is the platform's list, corrected by what this node observed; it never changes.
+type View struct {
+	rows   map[string]Instance // listed ones, and removed ones that are still heard
+	listed map[string]bool
+	marks  map[string]mark
+	read   bool
+}
+
+// WithList returns v with a new list.
+// Rows that the list lost stay known while the instance is heard, since the list lags.
+func (v View) WithList(now time.Time, list []Instance) View {
+	rows := make(map[string]Instance, len(list))
+	listed := make(map[string]bool, len(list))
+	for name, row := range v.rows {
+		if m, ok := v.marks[name]; ok && !m.contact.IsZero() && now.Sub(m.contact) < ContactAge {
+			rows[name] = row
+		}
+	}
+	for _, row := range list {
+		rows[row.Name] = row
+		listed[row.Name] = true
+	}
+	v.rows, v.listed, v.read = rows, listed, true
+	return v
+}
+
+// WithBeat returns v after a heartbeat that an instance sent itself.
+// A leaving mark belongs to one boot: a late heartbeat does not clear it, a restarted instance does.
+func (v View) WithBeat(at time.Time, b Beat) View {
+	m := v.marks[b.Name]
+	switch {
+	case b.Leaving:
+		m.leaving = latest(m.leaving, at)
+	case m.boot != b.Boot:
+		m.leaving = time.Time{}
+	}
+	m.boot = b.Boot
+	return v.withMark(b.Name, m.answered(at), at)
+}
+
+// WithContact returns v after a call to an instance.
+func (v View) WithContact(at time.Time, name string, outcome Outcome) View {
+	m := v.marks[name]
+	switch outcome {
+	case Leaves:
+		m.leaving = latest(m.leaving, at)
+		m = m.answered(at)
+	case Answered:
+		m = m.answered(at)
+	case Refused, Silent:
+		if at.Before(m.contact) {
+			return v
+		}
+		m.failed = latest(m.failed, at)
+		m.failures++
+		m.refused = outcome == Refused
+	}
+	return v.withMark(name, m, at)
+}
+
+func (m mark) answered(at time.Time) mark {
+	m.contact = latest(m.contact, at)
+	if m.contact.After(m.failed) {
+		m.failures, m.refused = 0, false
+	}
+	return m
+}
+
+// withMark also drops the marks that no longer matter, which bounds their number by the calls of a minute.
+func (v View) withMark(name string, m mark, now time.Time) View {
+	marks := maps.Clone(v.marks)
+	if marks == nil {
+		marks = map[string]mark{}
+	}
+	marks[name] = m
+	for n, m := range marks {
+		if now.Sub(m.newest()) > LeavingAge {
+			delete(marks, n)
+		}
+	}
+	v.marks = marks
+	return v
+}
+
+// Read tells whether the list has been read at all.
+func (v View) Read() bool { return v.read }
+
+// Row returns what is known of an instance's addresses.
+func (v View) Row(name string) (Instance, bool) {
+	row, ok := v.rows[name]
+	return row, ok
+}
+
+// Status returns what the node concludes about an instance.
+func (v View) Status(now time.Time, name string) Status {
+	row, known := v.rows[name]
+	m := v.marks[name]
+	heard := !m.contact.IsZero() && now.Sub(m.contact) < ContactAge
+	switch {
+	case !known:
+		return Unknown
+	case !m.leaving.IsZero() && now.Sub(m.leaving) < LeavingAge:
+		return Going
+	case m.failures > 0 && now.Sub(m.failed) < m.backoff():
+		if m.refused {
+			return Crashed
+		}
+		return Quiet
+	case heard:
+		return Present
+	case !v.listed[name]:
+		return Unknown
+	case row.State == Leaving:
+		return Going
+	}
+	return Present
+}
+
+// Instances returns the instances with the given status in the order of their names.
+func (v View) Instances(now time.Time, status Status) []Instance {
+	var out []Instance
+	for name, row := range v.rows {
+		if v.Status(now, name) == status {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b Instance) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Pick returns up to n present instances at random, without the named one.
+func (v View) Pick(now time.Time, n int, without string, random func(n int) int) []Instance {
+	all := slices.DeleteFunc(v.Instances(now, Present), func(i Instance) bool { return i.Name == without })
+	n = min(n, len(all))
+	for i := range n {
+		j := i + random(len(all)-i)
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:n]
+}
