--- /dev/null
+++ b/node/config/version_test.go
@@ -0,0 +1,165 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/instance"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// numbered returns a manifest and tree of a version; other texts give other manifests.
+func numbered(t require.TestingT, version int64, text string) (Manifest, Tree) {
+	m, _, tree := packed(t, version, "homes: [a, b, c, d, e]", text)
+	return m, tree
+}
+
+func packed(t require.TestingT, version int64, fleet, text string) (Manifest, map[Digest][]byte, Tree) {
+	files := []File{{Name: "tree.yaml", Data: []byte(fmt.Sprintf("fleet: {%s}\n# %s\n", fleet, text))}}
+	m, parts, err := Pack(version, files)
+	require.NoError(t, err)
+	tree, err := Build(m, parts)
+	require.NoError(t, err)
+	return m, parts, tree
+}
+
+// TestOffer guards against a version that goes back, and against a second manifest that replaces the first.
+func TestOffer(t *testing.T) {
+	m7, t7 := numbered(t, 7, "")
+	other7, _ := numbered(t, 7, "other")
+	m6, t6 := numbered(t, 6, "")
+	m8, _ := numbered(t, 8, "")
+	other8, _ := numbered(t, 8, "other")
+	m9, _ := numbered(t, 9, "")
+	held := NewVersion("n", 1).WithTree(m7, t7)
+	fetching, _ := held.WithOffer(m8)
+	rejected := fetching.WithRejected(m8)
+	cases := map[string]struct {
+		state   Version
+		offer   Manifest
+		want    Decision
+		pending int64
+	}{
+		"first":                       {state: NewVersion("n", 1), offer: m7, want: Fetch, pending: 7},
+		"lower":                       {state: held, offer: m6, want: Old},
+		"same":                        {state: held, offer: m7, want: Same},
+		"other under the held":        {state: held, offer: other7, want: Conflict},
+		"higher":                      {state: held, offer: m8, want: Fetch, pending: 8},
+		"same as the pending":         {state: fetching, offer: m8, want: Same, pending: 8},
+		"other under the pending":     {state: fetching, offer: other8, want: Conflict, pending: 8},
+		"higher than the pending":     {state: fetching, offer: m9, want: Fetch, pending: 9},
+		"held while another pends":    {state: fetching, offer: m7, want: Same, pending: 8},
+		"rejected again":              {state: rejected, offer: m8, want: Bad},
+		"other number after rejected": {state: rejected, offer: m9, want: Fetch, pending: 9},
+		"other under the rejected":    {state: rejected, offer: other8, want: Fetch, pending: 8},
+		"after its parts were absent": {state: fetching.WithoutPending(m8), offer: other8, want: Fetch, pending: 8},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			v, decision := tc.state.WithOffer(tc.offer)
+			require.Equal(t, tc.want, decision)
+			require.Equal(t, tc.pending, v.Pending().Version)
+			require.Equal(t, tc.state.Number(), v.Number())
+		})
+	}
+	require.Equal(t, int64(7), held.WithTree(m6, t6).Number())
+}
+
+func heardFrom(age time.Duration, version int64, names ...string) instance.Evidence {
+	var e instance.Evidence
+	for _, n := range names {
+		e.Homes = append(e.Homes, instance.Home{ID: HomeID(n), Boot: 1, Version: version, Age: age})
+	}
+	return e
+}
+
+// TestVerdict guards against a node that serves without recent evidence, or refuses with it.
+func TestVerdict(t *testing.T) {
+	m7, t7 := numbered(t, 7, "")
+	m8, t8 := numbered(t, 8, "")
+	other7, _ := numbered(t, 7, "other")
+	held := NewVersion("n", 1).WithTree(m7, t7)
+	tried := held.WithTrying(at(-9))
+	home := NewVersion("a", 1).WithTree(m7, t7)
+	through := instance.Evidence{Version: 7, Manifest: m7.Digest(), Confirmed: true, Age: time.Second}
+	cases := map[string]struct {
+		state Version
+		now   float64
+		want  Code
+	}{
+		"no version":                    {state: NewVersion("n", 1), want: Empty},
+		"no evidence":                   {state: held, want: Stale},
+		"static":                        {state: NewVersion("n", 1).WithStatic(m7, t7), now: 1000, want: Serve},
+		"three of five homes":           {state: held.WithConfirm(at(0), heardFrom(0, 7, "a", "b", "c")), now: 4.9, want: Serve},
+		"after a pause":                 {state: held.WithConfirm(at(0), heardFrom(0, 7, "a", "b", "c")), now: 5, want: Stale},
+		"age through others":            {state: held.WithConfirm(at(0), heardFrom(3*time.Second, 7, "a", "b", "c")), now: 2, want: Stale},
+		"two of five homes":             {state: held.WithConfirm(at(0), heardFrom(0, 7, "a", "b")), want: Stale},
+		"two homes and itself":          {state: home.WithConfirm(at(0), heardFrom(0, 7, "b", "c")), want: Serve},
+		"no homes":                      {state: held.WithConfirm(at(0), heardFrom(0, 7, "x", "y", "z")), want: Stale},
+		"homes with older versions":     {state: held.WithConfirm(at(0), heardFrom(0, 6, "a", "b", "c")), want: Serve},
+		"homes with a newer version":    {state: held.WithConfirm(at(0), heardFrom(0, 8, "a", "b", "c")), want: Stale},
+		"newer version arrived":         {state: held.WithConfirm(at(0), heardFrom(0, 8, "a", "b", "c")).WithTree(m8, t8), want: Serve},
+		"service, fresh":                {state: held.WithTrying(at(0)).WithAnswer(at(0), 7, m7.Digest()), now: 1.9, want: Stale},
+		"service, peers tried":          {state: held.WithTrying(at(0)).WithAnswer(at(0), 7, m7.Digest()), now: 2, want: Serve},
+		"service, no list":              {state: held.WithAnswer(at(0), 7, m7.Digest()), now: 4, want: Stale},
+		"service, homes heard before":   {state: held.WithConfirm(at(-9), heardFrom(0, 7, "a", "b", "c")).WithAnswer(at(0), 7, m7.Digest()), want: Serve},
+		"old service":                   {state: tried.WithAnswer(at(0), 6, m7.Digest()), want: Stale},
+		"service with another manifest": {state: tried.WithAnswer(at(0), 7, other7.Digest()), want: Stale},
+		"service with a newer version":  {state: tried.WithAnswer(at(0), 8, m8.Digest()), want: Stale},
+		"then older again":              {state: tried.WithAnswer(at(0), 8, m8.Digest()).WithAnswer(at(0), 7, m7.Digest()), want: Stale},
+		"service before the tree":       {state: tried.WithAnswer(at(0), 8, m8.Digest()).WithTree(m8, t8), want: Serve},
+		"service with a rejected one":   {state: tried.WithAnswer(at(0), 8, m8.Digest()).WithRejected(m8), want: Serve},
+		"service, rejected before":      {state: tried.WithRejected(m8).WithAnswer(at(0), 8, m8.Digest()), want: Serve},
+		"service through a peer":        {state: tried.WithConfirm(at(0), through), now: 3.9, want: Serve},
+		"service through a peer, aged":  {state: tried.WithConfirm(at(0), through), now: 4, want: Stale},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.want, tc.state.Verdict(at(tc.now)).Code)
+		})
+	}
+}
+
+// TestHomes guards against versions of homes that fall for one boot, or outlive it.
+func TestHomes(t *testing.T) {
+	m7, t7 := numbered(t, 7, "")
+	row := func(boot uint32, version int64, age time.Duration) instance.Evidence {
+		return instance.Evidence{Homes: []instance.Home{{ID: HomeID("b"), Boot: boot, Version: version, Age: age}}}
+	}
+	cases := map[string]struct {
+		rows    []instance.Evidence
+		version int64
+		boot    uint32
+	}{
+		"never heard":                  {},
+		"rises":                        {rows: []instance.Evidence{row(1, 6, 0), row(1, 7, 0)}, boot: 1, version: 7},
+		"late report of one boot":      {rows: []instance.Evidence{row(1, 7, 0), row(1, 6, time.Second)}, boot: 1, version: 7},
+		"restart with an old version":  {rows: []instance.Evidence{row(1, 7, time.Second), row(2, 5, 0)}, boot: 2, version: 5},
+		"late report of an older boot": {rows: []instance.Evidence{row(2, 5, 0), row(1, 7, time.Second)}, boot: 2, version: 5},
+		"too old":                      {rows: []instance.Evidence{row(1, 7, 11*time.Second)}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			v := NewVersion("a", 3).WithTree(m7, t7)
+			for _, e := range tc.rows {
+				v = v.WithConfirm(at(0), e)
+			}
+			homes := v.Homes(at(0))
+			require.Len(t, homes, 5)
+			require.Equal(t, Home{Name: "a", Boot: 3, Version: 7, Heard: at(0)}, homes[0])
+			require.Equal(t, tc.version, homes[1].Version)
+			require.Equal(t, tc.boot, homes[1].Boot)
+			// A silent home stays known, since it may still lend under its version.
+			later := v.WithConfirm(at(3600), instance.Evidence{}).Homes(at(3600))
+			require.Equal(t, tc.version, later[1].Version)
+		})
+	}
+}
