Add verbctl, the operators' command line

Cause: operators need to check, compare and pack declarations, make key digests, and read the state of nodes.

The binary is bin/verbctl.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 .PHONY: build demo test race fuzz lint shape measure generate
 
 build:
-	go build -o bin/ ./node ./ctl ./measure
+	go build -o bin/ ./node ./measure
+	go build -o bin/verbctl ./ctl
 
 demo: build
 	bin/measure demo
--- /dev/null
+++ b/ctl/declare/diff.go
@@ -0,0 +1,65 @@
+package declare
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"verbenapin.dev/node/config"
+)
+
+// Diff returns one line for each difference between the resolved values of two trees.
+func Diff(before, after config.Tree) []string {
+	a, b := before.Fleet(), after.Fleet()
+	lines := changes("fleet", []Value{{Field: "homes", Text: list(a.Homes)}, {Field: "retired", Text: list(a.Retired)}, {Field: "out", Text: list(a.Out)}},
+		[]Value{{Field: "homes", Text: list(b.Homes)}, {Field: "retired", Text: list(b.Retired)}, {Field: "out", Text: list(b.Out)}})
+	return append(append(lines, entries(before, after, config.Routes)...), entries(before, after, config.Accounts)...)
+}
+
+func entries(before, after config.Tree, kind config.Kind) []string {
+	what := map[config.Kind]string{config.Routes: "route", config.Accounts: "account"}[kind]
+	names := map[string]bool{}
+	for _, t := range []config.Tree{before, after} {
+		for _, name := range namesOf(t, kind) {
+			names[name] = true
+		}
+	}
+	var lines []string
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		old, had := valuesOf(before, kind, name)
+		now, has := valuesOf(after, kind, name)
+		switch {
+		case !had:
+			lines = append(lines, fmt.Sprintf("+ %s %s", what, name))
+		case !has:
+			lines = append(lines, fmt.Sprintf("- %s %s", what, name))
+		default:
+			lines = append(lines, changes(what+" "+name, old, now)...)
+		}
+	}
+	return lines
+}
+
+func namesOf(t config.Tree, kind config.Kind) []string {
+	var names []string
+	if kind == config.Accounts {
+		for _, a := range t.Accounts() {
+			names = append(names, a.Name)
+		}
+		return names
+	}
+	for _, r := range t.Routes() {
+		names = append(names, r.Name)
+	}
+	return names
+}
+
+func changes(what string, before, after []Value) []string {
+	var lines []string
+	for i, v := range before {
+		if w := after[i]; v.Text != w.Text {
+			lines = append(lines, fmt.Sprintf("~ %s %s: %s -> %s", what, v.Field, v.Text, w.Text))
+		}
+	}
+	return lines
+}
--- a/node/otlp/tracer_test.go
+++ b/node/otlp/tracer_test.go
@@ -125,10 +125,8 @@
 
 // TestEndpointDown guards against spans that are lost without notice.
 func TestEndpointDown(t *testing.T) {
-	r := newReceiver(t)
-	u, err := url.Parse(r.URL)
+	u, err := url.Parse("http://127.0.0.1:1") // no process may listen there without privileges
 	require.NoError(t, err)
-	r.Close()
 	faults := make(chan error, 1)
 	tracer, err := New(context.Background(), Options{Endpoint: u, Sample: 1, Fault: func(err error) { faults <- err }})
 	require.NoError(t, err)
