Explain a refusal from the tree and the state of the node

Cause: /explain needs the values that decide, with the place that sets them, and verbctl show prints the same values.

--- a/ctl/declare/diff.go
+++ b/ctl/declare/diff.go
@@ -6,13 +6,12 @@
 	"slices"
 
 	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/operator/report"
 )
 
 // Diff returns one line for each difference between the resolved values of two trees.
 func Diff(before, after config.Tree) []string {
-	a, b := before.Fleet(), after.Fleet()
-	lines := changes("fleet", []Value{{Field: "homes", Text: list(a.Homes)}, {Field: "retired", Text: list(a.Retired)}, {Field: "out", Text: list(a.Out)}},
-		[]Value{{Field: "homes", Text: list(b.Homes)}, {Field: "retired", Text: list(b.Retired)}, {Field: "out", Text: list(b.Out)}})
+	lines := changes("fleet", report.FleetValues(before), report.FleetValues(after))
 	return append(append(lines, entries(before, after, config.Routes)...), entries(before, after, config.Accounts)...)
 }
 
@@ -26,8 +25,8 @@
 	}
 	var lines []string
 	for _, name := range slices.Sorted(maps.Keys(names)) {
-		old, had := valuesOf(before, kind, name)
-		now, has := valuesOf(after, kind, name)
+		old, had := report.Values(before, kind, name)
+		now, has := report.Values(after, kind, name)
 		switch {
 		case !had:
 			lines = append(lines, fmt.Sprintf("+ %s %s", what, name))
@@ -54,7 +53,7 @@
 	return names
 }
 
-func changes(what string, before, after []Value) []string {
+func changes(what string, before, after []report.Value) []string {
 	var lines []string
 	for i, v := range before {
 		if w := after[i]; v.Text != w.Text {
--- /dev/null
+++ b/node/operator/facts_test.go
@@ -0,0 +1,54 @@
+package operator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/operator/report"
+)
+
+// TestFacts guards against an explanation without the value that decided, or with one that does not apply.
+func TestFacts(t *testing.T) {
+	tree, err := config.Parse(7, []config.File{{Name: "f.yaml", Data: []byte(`
+routes:
+  history: {host: streaks.example, path: /history, service: history, slots: 12}
+  exports: {host: streaks.example, path: /exports, service: exports}
+accounts:
+  base: {burst: 100, routes: [history]}
+  lombardia: {parent: base, rate: 200/s, keys: ["sha256:ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"]}
+`)}})
+	require.NoError(t, err)
+	s := report.State{Service: "history", Verdict: "serve", Age: 20, Load: report.Load{Running: 3, Limit: 12}}
+	cases := map[string]struct {
+		query report.Query
+		want  []report.Fact
+		never string // name of a fact that must not appear
+	}{
+		"account": {query: report.Query{Account: "lombardia"}, want: []report.Fact{
+			{Name: "account rate", Value: "200/s", From: "lombardia f.yaml:7"},
+			{Name: "account burst", Value: "100", From: "base f.yaml:6"},
+		}, never: "account keys"},
+		"route here": {query: report.Query{Route: "history"}, want: []report.Fact{
+			{Name: "route slots", Value: "12", From: "history f.yaml:3"},
+			{Name: "route hedge", Value: "0%", From: "default"},
+			{Name: "limit", Value: "12", From: "target beside this node"},
+		}, never: "authorized"},
+		"route elsewhere": {query: report.Query{Account: "lombardia", Route: "exports"}, want: []report.Fact{
+			{Name: "authorized", Value: "false", From: "tree"},
+		}, never: "limit"},
+		"unknown": {query: report.Query{Account: "lombard"}, want: []report.Fact{
+			{Name: "account", Value: "unknown", From: "tree"}, {Name: "verdict", Value: "serve", From: "evidence 20 ms old"},
+		}, never: "account rate"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := Facts(tree, s, tc.query)
+			require.Subset(t, got, tc.want)
+			for _, f := range got {
+				require.NotEqual(t, tc.never, f.Name)
+			}
+		})
+	}
+}
