Test the gate's decisions and bound the cost of an event

Change: one copy of the queue for each event, at most 16 idle accounts; a slow response or an overdue request counts only while no later request was answered in the usual time; slow responses enter the baseline once a usual one follows. Tests: tables, a naive queue and a ledger of all tickets on generated events, and an account at five times its share by count and by cost.

--- a/node/target/baseline.go
+++ b/node/target/baseline.go
@@ -8,6 +8,7 @@
 
 // AdmitAll starts every request; it is the measuring program's baseline without admission control.
 func AdmitAll(g Gate, now time.Time, t Ticket) (Gate, Verdict) {
+	g.queue = g.queue.clone(now)
 	return g.withStart(now, t), Verdict{ID: t.ID, Action: Start}
 }
 
@@ -16,5 +17,6 @@
 	if len(g.runs) >= g.limit.slots {
 		return g, refuse(t.ID, answer.Busy, g.limit.Service(), "all slots are in use")
 	}
+	g.queue = g.queue.clone(now)
 	return g.withStart(now, t), Verdict{ID: t.ID, Action: Start}
 }
--- /dev/null
+++ b/node/target/fair_test.go
@@ -0,0 +1,130 @@
+package target
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+type event struct {
+	at     time.Time
+	id     uint64
+	kind   int // 0 arrival, 1 end, 2 tick
+	ticket Ticket
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// tally is what the accounts other than the large one got.
+type tally struct {
+	calls, refused int
+	p99            time.Duration // wait until the start
+	large          int           // requests of the large account that ran
+}
+
+// serve runs 8 accounts on a warm target of 12 slots with exponential service times of 6 ms (2,000 calls/s) for 20 s.
+// Seven accounts send 160 calls/s each, which is 64% of an eighth; the large one sends the given rate.
+func serve(t *testing.T, arrive func(Gate, time.Time, Ticket) (Gate, Verdict), largeRate float64, largeCost float64) tally {
+	r := rand.New(rand.NewPCG(1, 2))
+	g, begin := warmGate(t, 12)
+	var queue events
+	id := uint64(0)
+	for a := range 8 {
+		rate := 160.0
+		if a == 0 {
+			rate = largeRate
+		}
+		for at := begin; at.Before(begin.Add(20 * time.Second)); {
+			at = at.Add(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+			id++
+			queue = append(queue, event{at: at, id: id, ticket: Ticket{ID: id, Account: fmt.Sprint("a", a), Deadline: at.Add(time.Second)}})
+		}
+	}
+	heap.Init(&queue)
+	tickets, arrived := map[uint64]Ticket{}, map[uint64]time.Time{}
+	var out tally
+	var waits []time.Duration
+	note := func(now time.Time, v Verdict) {
+		small := tickets[v.ID].Account != "a0"
+		switch v.Action {
+		case Start:
+			mean := float64(ms(6))
+			if small {
+				waits = append(waits, now.Sub(arrived[v.ID]))
+			} else {
+				out.large++
+				mean *= largeCost
+			}
+			// Half of the time varies, so that the limit isn't the subject here.
+			service := time.Duration(mean * (0.5 + 0.5*min(r.ExpFloat64(), 4)))
+			heap.Push(&queue, event{at: now.Add(service), id: v.ID, kind: 1, ticket: Ticket{Deadline: now}})
+		case Wait:
+			heap.Push(&queue, event{at: now.Add(queueFor), kind: 2})
+		case Refuse:
+			if small {
+				out.refused++
+			}
+		}
+	}
+	for queue.Len() > 0 {
+		e := heap.Pop(&queue).(event)
+		var verdicts []Verdict
+		switch e.kind {
+		case 0:
+			tickets[e.id], arrived[e.id] = e.ticket, e.at
+			if e.ticket.Account != "a0" {
+				out.calls++
+			}
+			var v Verdict
+			g, v = arrive(g, e.at, e.ticket)
+			verdicts = []Verdict{v}
+		case 1:
+			g, verdicts = g.WithDone(e.at, e.id, Outcome{Latency: e.at.Sub(e.ticket.Deadline)})
+		default:
+			g, verdicts = g.WithTick(e.at)
+		}
+		for _, v := range verdicts {
+			note(e.at, v)
+		}
+	}
+	slices.Sort(waits)
+	out.p99 = waits[len(waits)*99/100]
+	return out
+}
+
+// TestLargeAccount guards against an account at five times its share, by count or by cost, that worsens the rest.
+func TestLargeAccount(t *testing.T) {
+	usual := serve(t, Gate.WithArrival, 160, 1)
+	cases := map[string]struct{ rate, cost float64 }{
+		"five times the calls": {rate: 5 * 250, cost: 1},
+		"five times the cost":  {rate: 250, cost: 5},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			fair := serve(t, Gate.WithArrival, tc.rate, tc.cost)
+			naive := serve(t, AdmitSlots, tc.rate, tc.cost)
+			t.Logf("usual %+v, fair %+v, slots only %+v", usual, fair, naive)
+			// A waiting request gives way to at most one running request, which lasts 15 ms (times the cost) at most.
+			require.LessOrEqual(t, fair.p99, usual.p99+time.Duration(15*tc.cost)*time.Millisecond)
+			require.Less(t, fair.refused, naive.refused)
+			require.LessOrEqual(t, fair.refused, fair.calls/100)
+			require.Positive(t, fair.large)
+		})
+	}
+}
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -139,6 +139,7 @@
 	}
 	g.limit = g.limit.WithIdle(now)
 	g = g.withOverdue(now)
+	g.queue = g.queue.clone(now)
 	limit := g.limit.Value()
 	if len(g.runs) < limit && g.queue.Room(now, t.Account, limit) {
 		if _, more := g.queue.Next(now, limit); !more {
@@ -146,6 +147,7 @@
 		}
 	}
 	wait := g.expected(t.Account)
+	g.queue.share(now, t.Account)
 	switch {
 	case !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline):
 		return g, refuse(t.ID, answer.Late, wait, "the expected wait exceeds the time left")
@@ -157,10 +159,10 @@
 		if !ok {
 			return g, refuse(t.ID, answer.Busy, wait, "the queue is full")
 		}
-		g.queue, _ = g.queue.WithoutTicket(now, victim.ID)
+		g.queue.remove(now, victim.ID)
 		g.displaced = append(slices.Clip(g.displaced), refuse(victim.ID, answer.Busy, wait, "gave way to another account"))
 	}
-	g.queue = g.queue.WithTicket(now, t)
+	g.queue.add(now, t)
 	return g, Verdict{ID: t.ID, Action: Wait}
 }
 
@@ -175,9 +177,10 @@
 	return wait
 }
 
+// withStart changes the queue, which must be a clone.
 func (g Gate) withStart(now time.Time, t Ticket) Gate {
 	cost := g.limit.Service()
-	g.queue = g.queue.WithStart(now, t.Account, cost)
+	g.queue.begin(now, t.Account, cost)
 	g.runs = append(slices.Clip(g.runs), run{ticket: t, started: now, cost: cost})
 	if len(g.runs) >= g.limit.Value() {
 		for i := range g.runs { // append copied the clipped slice
@@ -198,7 +201,7 @@
 		if now.Sub(g.runs[i].started) <= bound {
 			break
 		}
-		if !g.runs[i].started.Before(g.limit.cut) {
+		if !g.runs[i].started.Before(g.limit.cut) && g.runs[i].started.After(g.limit.usual) {
 			overdue++
 		}
 	}
@@ -216,7 +219,8 @@
 	}
 	r := g.runs[at]
 	g.runs = slices.Concat(g.runs[:at], g.runs[at+1:])
-	g.queue = g.queue.WithEnd(now, r.ticket.Account, now.Sub(r.started)-r.cost)
+	g.queue = g.queue.clone(now)
+	g.queue.end(now, r.ticket.Account, now.Sub(r.started)-r.cost)
 	switch o.Kind {
 	case Good:
 		g.limit = g.limit.WithGood(now, r.started, o.Latency, r.full)
@@ -227,38 +231,50 @@
 	case Refused:
 		g.limit = g.limit.WithRefused(now)
 	}
-	return g.WithTick(now)
+	return g.advance(now)
 }
 
 // WithCancel removes a waiting ticket whose caller gave up; a started one ends with WithDone.
 func (g Gate) WithCancel(now time.Time, id uint64) (Gate, []Verdict) {
-	g.queue, _ = g.queue.WithoutTicket(now, id)
+	g.queue = g.queue.clone(now)
+	g.queue.remove(now, id)
 	g.displaced = slices.DeleteFunc(slices.Clone(g.displaced), func(v Verdict) bool { return v.ID == id })
-	return g.WithTick(now)
+	return g.advance(now)
 }
 
 // WithTick refuses tickets that waited for too long and starts those for which there is room.
 func (g Gate) WithTick(now time.Time) (Gate, []Verdict) {
+	if g.queue.Len() == 0 && len(g.displaced) == 0 {
+		return g.withOverdue(now), nil
+	}
+	g.queue = g.queue.clone(now)
+	return g.advance(now)
+}
+
+// advance changes the queue, which must be a clone.
+func (g Gate) advance(now time.Time) (Gate, []Verdict) {
 	g = g.withOverdue(now)
 	verdicts := slices.Clip(g.displaced)
 	g.displaced = nil
-	for _, w := range g.queue.waiters {
+	for i := 0; i < len(g.queue.waiters); {
+		w := g.queue.waiters[i]
 		switch {
 		case !w.ticket.Deadline.IsZero() && !now.Before(w.ticket.Deadline):
 			verdicts = append(verdicts, refuse(w.ticket.ID, answer.Late, 0, "the deadline passed in the queue"))
 		case now.Sub(w.arrived) >= queueFor:
 			verdicts = append(verdicts, refuse(w.ticket.ID, answer.Busy, g.expected(w.ticket.Account), "waited for too long"))
 		default:
+			i++
 			continue
 		}
-		g.queue, _ = g.queue.WithoutTicket(now, w.ticket.ID)
+		g.queue.remove(now, w.ticket.ID)
 	}
 	for len(g.runs) < g.limit.Value() {
 		t, ok := g.queue.Next(now, g.limit.Value())
 		if !ok {
 			break
 		}
-		g.queue, _ = g.queue.WithoutTicket(now, t.ID)
+		g.queue.remove(now, t.ID)
 		g = g.withStart(now, t)
 		verdicts = append(verdicts, Verdict{ID: t.ID, Action: Start})
 	}
--- a/node/target/limit.go
+++ b/node/target/limit.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	slowFactor  = 3  // service time beyond this multiple of the baseline counts as slow
-	slowCut     = 3  // slow responses in a row that halve the limit
-	slowCold    = 5  // slow responses in a row that mean a cold target
-	nearFactor  = 2  // recent service time up to this multiple of the baseline allows growth
-	baseWeight  = 64 // responses over which the baseline is averaged
-	shortWeight = 8  // responses over which recent values are averaged
+	slowFactor  = 3   // service time beyond this multiple of the baseline counts as slow
+	slowCut     = 3   // slow responses in a row that halve the limit
+	slowCold    = 5   // slow responses in a row that mean a cold target
+	nearFactor  = 1.5 // recent service time up to this multiple of the baseline allows growth
+	baseWeight  = 64  // responses over which the baseline is averaged
+	shortWeight = 8   // responses over which recent values are averaged
 	// One failure among eight responses is common in applications; two or more point to a failing target.
 	failingCut = 0.2
 	// Within this time without a response a target can be replaced unnoticed, so that the limit is halved.
@@ -21,15 +21,18 @@
 type Limit struct {
 	slots   int
 	value   int
-	credit  int // good responses at full use since the last change
-	slow    int // slow responses in a row
-	seen    int // responses in the baseline, up to baseWeight
+	credit  int           // good responses at full use since the last change
+	slow    int           // slow responses in a row
+	held    time.Duration // sum of the slow responses in a row that are not in the baseline yet
+	holding int           // number of these
+	seen    int           // responses in the baseline, up to baseWeight
 	base    time.Duration
 	spread  time.Duration // mean absolute deviation from the baseline
 	recent  time.Duration
 	failing float64
 	cut     time.Time // last reduction
 	heard   time.Time // last response
+	usual   time.Time // latest start of a request that was answered in the usual time
 }
 
 // NewLimit returns the limit of a target that was not seen warm.
@@ -61,6 +64,7 @@
 // WithCold returns the limit of a target that started anew.
 func (l Limit) WithCold(now time.Time) Limit {
 	l.value, l.credit, l.slow, l.cut = 1, 0, 0, now
+	l.held, l.holding = 0, 0
 	return l
 }
 
@@ -94,14 +98,41 @@
 	l.heard = now
 	l.failing -= l.failing / shortWeight
 	after := !started.Before(l.cut)
-	bound := l.Slow()
-	l = l.withSample(latency, after)
-	if bound > 0 && latency > bound {
+	latency = max(latency, time.Microsecond)
+	if l.seen == 0 {
+		l.base, l.recent = latency, latency
+	}
+	slow := l.Slow() > 0 && latency > l.Slow()
+	l.seen = min(l.seen+1, baseWeight)
+	l.recent += (latency - l.recent) / time.Duration(min(l.seen, shortWeight))
+	switch {
+	// At a limit of 1 the target has no load of ours besides this request, so a lasting change is adopted.
+	case l.value == 1 && after:
+		l = l.withBase(latency, 1, shortWeight)
+	// Slow responses enter the baseline when a usual one follows: until then they may show a cold target.
+	case slow:
+		l.held += latency
+		l.holding++
+	default:
+		l = l.withBase(latency, 1, baseWeight)
+		if l.holding > 0 {
+			l = l.withBase(l.held/time.Duration(l.holding), l.holding, baseWeight)
+			l.held, l.holding = 0, 0
+		}
+	}
+	// Where a later request was answered in the usual time, the request was slow and not the target.
+	if slow && started.After(l.usual) {
 		return l.WithSlow(now, 0)
 	}
+	if slow {
+		return l
+	}
 	l.slow = 0
+	if started.After(l.usual) {
+		l.usual = started
+	}
 	// Requests that started under a higher limit say nothing about the present one.
-	if !full || !after || l.value >= l.slots || l.recent > nearFactor*l.base {
+	if !full || !after || l.value >= l.slots || float64(l.recent) > nearFactor*float64(l.base) {
 		return l
 	}
 	l.credit++
@@ -111,21 +142,12 @@
 	return l
 }
 
-func (l Limit) withSample(latency time.Duration, after bool) Limit {
-	latency = max(latency, time.Microsecond)
-	if l.seen == 0 {
-		l.seen, l.base, l.recent = 1, latency, latency
-		return l
-	}
-	l.seen = min(l.seen+1, baseWeight)
-	weight := time.Duration(l.seen)
-	// At a limit of 1 the target has no load of ours besides this request, so a lasting change is adopted.
-	if l.value == 1 && after {
-		weight = min(weight, shortWeight)
-	}
-	l.spread += ((latency - l.base).Abs() - l.spread) / weight
-	l.base += (latency - l.base) / weight
-	l.recent += (latency - l.recent) / time.Duration(min(l.seen, shortWeight))
+// withBase takes n responses of the given mean into the baseline, whose first values count more than later ones.
+func (l Limit) withBase(latency time.Duration, n, weight int) Limit {
+	// A factor of 4 keeps the baseline behind the recent mean while a target slows down during its first responses.
+	w := max(min(4*l.seen, weight), n)
+	l.spread += ((latency - l.base).Abs() - l.spread) * time.Duration(n) / time.Duration(w)
+	l.base += (latency - l.base) * time.Duration(n) / time.Duration(w)
 	return l
 }
 
--- /dev/null
+++ b/node/target/limit_test.go
@@ -0,0 +1,129 @@
+package target
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// step is one event of a limit; n repeats it.
+type step struct {
+	n       int
+	kind    Kind
+	latency time.Duration
+	idle    bool // the request ran while the limit was not reached
+	pause   time.Duration
+}
+
+func drive(l Limit, steps ...step) Limit {
+	now := start
+	for _, s := range steps {
+		now = now.Add(s.pause)
+		for range max(s.n, 1) {
+			began := now
+			now = now.Add(s.latency)
+			l = l.WithIdle(now)
+			switch s.kind {
+			case Good:
+				l = l.WithGood(now, began, s.latency, !s.idle)
+			case Failed:
+				l = l.WithFailed(now, s.latency)
+			case Refused:
+				l = l.WithRefused(now)
+			default:
+				l = l.WithShed(now)
+			}
+		}
+	}
+	return l
+}
+
+// TestLimit guards against a limit that outgrows a cold target, or that misses the signs of an overloaded one.
+func TestLimit(t *testing.T) {
+	warm := step{n: 200, latency: ms(6)}
+	cases := map[string]struct {
+		steps []step
+		want  int
+	}{
+		"cold start":                      {want: 1},
+		"one good response":               {steps: []step{{latency: ms(6)}}, want: 2},
+		"as many responses as the limit":  {steps: []step{{n: 1 + 2 + 3, latency: ms(6)}}, want: 4},
+		"one response too few":            {steps: []step{{n: 1 + 2 + 3 - 1, latency: ms(6)}}, want: 3},
+		"up to the slots":                 {steps: []step{warm}, want: 12},
+		"not fully used":                  {steps: []step{{n: 200, latency: ms(6), idle: true}}, want: 1},
+		"shed":                            {steps: []step{warm, {kind: Shed}}, want: 6},
+		"shed four times":                 {steps: []step{warm, {n: 4, kind: Shed}}, want: 1},
+		"lost":                            {steps: []step{warm, {kind: Lost}}, want: 6},
+		"connection refused":              {steps: []step{warm, {kind: Refused}}, want: 1},
+		"one fast failure":                {steps: []step{warm, {kind: Failed, latency: ms(1)}}, want: 12},
+		"two fast failures":               {steps: []step{warm, {n: 2, kind: Failed, latency: ms(1)}}, want: 6},
+		"failures at the usual pace":      {steps: []step{warm, {n: 5, kind: Failed, latency: ms(6)}}, want: 12},
+		"two slow responses":              {steps: []step{warm, {n: 2, latency: ms(19)}}, want: 12},
+		"three slow responses":            {steps: []step{warm, {n: 3, latency: ms(19)}}, want: 6},
+		"five slow responses":             {steps: []step{warm, {n: 5, latency: ms(25)}}, want: 1},
+		"slower but under three times":    {steps: []step{warm, {n: 5, latency: ms(17)}}, want: 12},
+		"a slow one now and then":         {steps: []step{warm, {latency: ms(25)}, {n: 9, latency: ms(6)}, {latency: ms(25)}}, want: 12},
+		"lasting change adopted":          {steps: []step{warm, {n: 5, latency: ms(25)}, {n: 300, latency: ms(25)}}, want: 12},
+		"idle for long":                   {steps: []step{warm, {pause: 2 * idleCut, latency: ms(6), idle: true}}, want: 3},
+		"idle for a little":               {steps: []step{warm, {pause: idleCut / 2, latency: ms(6), idle: true}}, want: 12},
+		"twice the baseline stops growth": {steps: []step{{n: 3, latency: ms(6)}, {n: 4, latency: ms(17)}}, want: 3},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.want, drive(NewLimit(12), tc.steps...).Value())
+		})
+	}
+}
+
+// TestLimitEarlier guards against growth on responses to requests that started under a higher limit.
+func TestLimitEarlier(t *testing.T) {
+	l := drive(NewLimit(12), step{n: 200, latency: ms(6)})
+	now := at(5000)
+	l = l.WithCold(now)
+	for i := range 11 {
+		l = l.WithGood(now.Add(ms(i)), now.Add(-ms(6)), ms(6), true)
+	}
+	require.Equal(t, 1, l.Value())
+}
+
+// TestLimitRange guards against a limit outside 1 to slots, growth without full use or by more than one, and no reduction on a loss.
+func TestLimitRange(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		slots := rapid.IntRange(1, 16).Draw(r, "slots")
+		l, now := NewLimit(slots), start
+		credit := 0
+		for range rapid.IntRange(1, 200).Draw(r, "events") {
+			now = now.Add(ms(rapid.IntRange(0, 20).Draw(r, "pause")))
+			before := l.Value()
+			latency := ms(rapid.IntRange(1, 40).Draw(r, "latency"))
+			full := rapid.Bool().Draw(r, "full")
+			kind := Kind(rapid.IntRange(int(Good), int(Refused)+8).Draw(r, "kind"))
+			switch kind {
+			case Failed:
+				l = l.WithFailed(now, latency)
+			case Shed, Lost:
+				l = l.WithShed(now)
+				require.Equal(t, max(before/2, 1), l.Value())
+			case Refused:
+				l = l.WithRefused(now)
+				require.Equal(t, 1, l.Value())
+			default:
+				l = l.WithGood(now, now.Add(-latency), latency, full)
+				if full {
+					credit++
+				}
+			}
+			require.GreaterOrEqual(t, l.Value(), 1)
+			require.LessOrEqual(t, l.Value(), slots)
+			require.LessOrEqual(t, l.Value(), before+1)
+			if l.Value() > before {
+				require.True(t, full && credit >= before, "grew from %d after %d", before, credit)
+			}
+			if l.Value() != before {
+				credit = 0
+			}
+		}
+	})
+}
--- /dev/null
+++ b/node/target/main_test.go
@@ -0,0 +1,35 @@
+package target
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestMain fixes the seed of generated inputs, so that every run returns the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func at(n int) time.Time { return start.Add(ms(n)) }
+
+// TestLoadText guards against a report that changes on its way to a sender.
+func TestLoadText(t *testing.T) {
+	l := Load{Running: 3, Queued: 2, Limit: 4, Service: 1500 * time.Microsecond, Failing: 0.125, Leaving: true}
+	got, err := ParseLoad(l.String())
+	require.NoError(t, err)
+	require.Equal(t, l, got)
+}
--- a/node/target/queue.go
+++ b/node/target/queue.go
@@ -7,8 +7,8 @@
 
 const (
 	activeFor = time.Second // an account counts as active for this long after its last event
-	// Idle accounts beyond this number are dropped, so that the cost of an event is bounded.
-	idleAccounts = 64
+	// Idle accounts beyond this number are dropped, oldest first, so that the cost of an event is bounded.
+	idleAccounts = 16
 )
 
 // Ticket stands for one request at the gate.
@@ -50,12 +50,13 @@
 	return -1
 }
 
-// withShare returns a copy of the queue whose shares may be changed, and the index of the account's share.
-func (q Queue) withShare(now time.Time, account string) (Queue, int) {
-	shares := make([]share, 0, len(q.shares)+1)
+// clone returns a copy that its caller may change until it hands it on; accounts that became idle are dropped.
+func (q Queue) clone(now time.Time) Queue {
+	shares := make([]share, 0, len(q.shares)+2)
 	idle, oldest := 0, -1
-	for _, s := range q.shares {
-		if s.running == 0 && s.waiting == 0 && s.account != account {
+	for i := range q.shares {
+		s := &q.shares[i]
+		if s.running == 0 && s.waiting == 0 {
 			if now.Sub(s.active) >= activeFor {
 				continue
 			}
@@ -64,64 +65,99 @@
 				oldest = len(shares)
 			}
 		}
-		shares = append(shares, s)
+		shares = append(shares, *s)
 	}
 	if idle > idleAccounts {
 		shares = slices.Delete(shares, oldest, oldest+1)
 	}
-	q.shares = shares
+	waiters := make([]waiter, len(q.waiters), len(q.waiters)+2)
+	copy(waiters, q.waiters)
+	q.shares, q.waiters = shares, waiters
+	return q
+}
+
+// share returns the account's share for changes; only for clones.
+func (q *Queue) share(now time.Time, account string) *share {
 	i := q.find(account)
 	if i < 0 {
 		q.shares = append(q.shares, share{account: account, served: q.floor})
 		i = len(q.shares) - 1
 	}
 	s := &q.shares[i]
-	// An account gets no credit for the time in which it sent nothing.
+	// An account gets no credit for the time in which it sent nothing, and its debt ends when it counts as idle.
 	if s.running == 0 && s.waiting == 0 {
+		if now.Sub(s.active) >= activeFor {
+			s.served = q.floor
+		}
 		s.served = max(s.served, q.floor)
 	}
 	s.active = now
-	return q, i
+	return s
+}
+
+// WithSeen returns the queue after a request of the account was refused, which counts as activity.
+func (q Queue) WithSeen(now time.Time, account string) Queue {
+	q = q.clone(now)
+	q.share(now, account)
+	return q
 }
 
 // WithTicket returns the queue with one more waiting ticket.
 func (q Queue) WithTicket(now time.Time, t Ticket) Queue {
-	q, i := q.withShare(now, t.Account)
-	q.shares[i].waiting++
-	q.waiters = append(slices.Clip(q.waiters), waiter{ticket: t, arrived: now})
+	q = q.clone(now)
+	q.add(now, t)
 	return q
 }
 
+func (q *Queue) add(now time.Time, t Ticket) {
+	q.share(now, t.Account).waiting++
+	q.waiters = append(q.waiters, waiter{ticket: t, arrived: now})
+}
+
 // WithoutTicket returns the queue without a waiting ticket, and whether it was there.
 func (q Queue) WithoutTicket(now time.Time, id uint64) (Queue, bool) {
+	q = q.clone(now)
+	ok := q.remove(now, id)
+	return q, ok
+}
+
+func (q *Queue) remove(now time.Time, id uint64) bool {
 	at := slices.IndexFunc(q.waiters, func(w waiter) bool { return w.ticket.ID == id })
 	if at < 0 {
-		return q, false
+		return false
 	}
-	q, i := q.withShare(now, q.waiters[at].ticket.Account)
-	q.shares[i].waiting--
-	q.waiters = slices.Concat(q.waiters[:at], q.waiters[at+1:])
-	return q, true
+	q.share(now, q.waiters[at].ticket.Account).waiting--
+	q.waiters = slices.Delete(q.waiters, at, at+1)
+	return true
 }
 
 // WithStart returns the queue after a ticket of the account started; cost is the expected service time.
 func (q Queue) WithStart(now time.Time, account string, cost time.Duration) Queue {
-	q, i := q.withShare(now, account)
-	s := &q.shares[i]
+	q = q.clone(now)
+	q.begin(now, account, cost)
+	return q
+}
+
+func (q *Queue) begin(now time.Time, account string, cost time.Duration) {
+	s := q.share(now, account)
 	q.floor = max(q.floor, s.served)
 	s.running++
 	s.served += cost
-	return q
 }
 
 // WithEnd returns the queue after a ticket of the account ended; correction is the used time less the expected cost.
 func (q Queue) WithEnd(now time.Time, account string, correction time.Duration) Queue {
-	q, i := q.withShare(now, account)
-	q.shares[i].running--
-	q.shares[i].served += correction
+	q = q.clone(now)
+	q.end(now, account, correction)
 	return q
 }
 
+func (q *Queue) end(now time.Time, account string, correction time.Duration) {
+	s := q.share(now, account)
+	s.running--
+	s.served += correction
+}
+
 // Contended tells whether an account besides the given one waits, runs, or was active within the last second.
 func (q Queue) Contended(now time.Time, account string) bool {
 	for i := range q.shares {
--- /dev/null
+++ b/node/target/queue_test.go
@@ -0,0 +1,150 @@
+package target
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// naiveQueue keeps every account that it ever saw and sorts all waiting tickets for each decision.
+type naiveQueue struct {
+	waiting []Ticket
+	served  map[string]time.Duration
+	running map[string]int
+	active  map[string]time.Time
+	floor   time.Duration
+}
+
+func (q *naiveQueue) queued(account string) int {
+	n := 0
+	for _, t := range q.waiting {
+		if t.Account == account {
+			n++
+		}
+	}
+	return n
+}
+
+func (q *naiveQueue) touch(now time.Time, account string) {
+	if q.running[account] == 0 && q.queued(account) == 0 {
+		last, seen := q.active[account]
+		if !seen || now.Sub(last) >= time.Second || q.served[account] < q.floor {
+			q.served[account] = q.floor
+		}
+	}
+	q.active[account] = now
+}
+
+func (q *naiveQueue) room(now time.Time, account string, limit int) bool {
+	if 4*q.running[account] < 3*limit {
+		return true
+	}
+	for other, last := range q.active {
+		if other != account && (q.running[other] > 0 || q.queued(other) > 0 || now.Sub(last) < time.Second) {
+			return false
+		}
+	}
+	return true
+}
+
+func (q *naiveQueue) next(now time.Time, limit int) (Ticket, bool) {
+	var list []Ticket
+	for _, t := range q.waiting {
+		if q.room(now, t.Account, limit) {
+			list = append(list, t)
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool { return q.served[list[i].Account] < q.served[list[j].Account] })
+	if len(list) == 0 {
+		return Ticket{}, false
+	}
+	return list[0], true
+}
+
+func (q *naiveQueue) remove(id uint64) {
+	for i, t := range q.waiting {
+		if t.ID == id {
+			q.waiting = append(q.waiting[:i:i], q.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// TestQueueOrder guards against a wrong order between accounts or within one, and against an account beyond its share of the slots.
+func TestQueueOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var q Queue
+		naive := naiveQueue{served: map[string]time.Duration{}, running: map[string]int{}, active: map[string]time.Time{}}
+		now, id := start, uint64(0)
+		var runs []Ticket
+		for range rapid.IntRange(1, 150).Draw(r, "events") {
+			now = now.Add(ms(rapid.SampledFrom([]int{0, 1, 5, 20, 400, 1100}).Draw(r, "pause")))
+			limit := rapid.IntRange(1, 12).Draw(r, "limit")
+			switch rapid.IntRange(0, 5).Draw(r, "event") {
+			case 0, 1:
+				id++
+				ticket := Ticket{ID: id, Account: fmt.Sprint("a", rapid.IntRange(0, 4).Draw(r, "account"))}
+				q = q.WithTicket(now, ticket)
+				naive.touch(now, ticket.Account)
+				naive.waiting = append(naive.waiting, ticket)
+			case 2, 3:
+				got, ok := q.Next(now, limit)
+				want, wantOK := naive.next(now, limit)
+				require.Equal(t, wantOK, ok)
+				require.Equal(t, want, got)
+				if !ok {
+					continue
+				}
+				cost := ms(rapid.IntRange(1, 20).Draw(r, "cost"))
+				q, _ = q.WithoutTicket(now, got.ID)
+				q = q.WithStart(now, got.Account, cost)
+				naive.touch(now, got.Account)
+				naive.remove(got.ID)
+				naive.touch(now, got.Account)
+				naive.floor = max(naive.floor, naive.served[got.Account])
+				naive.served[got.Account] += cost
+				naive.running[got.Account]++
+				runs = append(runs, got)
+			case 4:
+				if len(runs) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(runs)-1).Draw(r, "run")
+				correction := ms(rapid.IntRange(-1, 30).Draw(r, "correction"))
+				q = q.WithEnd(now, runs[i].Account, correction)
+				naive.touch(now, runs[i].Account)
+				naive.running[runs[i].Account]--
+				naive.served[runs[i].Account] += correction
+				runs = append(runs[:i], runs[i+1:]...)
+			case 5:
+				if len(naive.waiting) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(naive.waiting)-1).Draw(r, "waiting")
+				ticket := naive.waiting[i]
+				var ok bool
+				q, ok = q.WithoutTicket(now, ticket.ID)
+				require.True(t, ok)
+				naive.touch(now, ticket.Account)
+				naive.remove(ticket.ID)
+			}
+			require.Equal(t, len(naive.waiting), q.Len())
+		}
+	})
+}
+
+// TestQueueBounded guards against state that grows with the number of accounts ever seen.
+func TestQueueBounded(t *testing.T) {
+	var q Queue
+	for i := range 10_000 {
+		now := start.Add(time.Duration(i) * time.Microsecond)
+		q = q.WithStart(now, fmt.Sprint(i), ms(6)).WithEnd(now, fmt.Sprint(i), 0)
+	}
+	require.LessOrEqual(t, len(q.shares), idleAccounts+1)
+	q = q.WithSeen(start.Add(time.Minute), "last")
+	require.Len(t, q.shares, 1)
+}
