Hold the limit below a value that was too high

Cause: the limit returned to the refused value within milliseconds of each reduction, so that a cold target got excess requests again and again; service times above the baseline stopped growth but lowered nothing.

Change: after a reduction the limit stays below the former value for 1 s; while the median since the last change exceeds 1.5 times its long-term mean, the limit goes down by one after as many responses as the limit.

--- a/node/target/limit.go
+++ b/node/target/limit.go
@@ -1,18 +1,24 @@
 package target
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	slowFactor  = 3   // service time beyond this multiple of the baseline counts as slow
 	slowCut     = 3   // slow responses in a row that halve the limit
 	slowCold    = 5   // slow responses in a row that mean a cold target
-	nearFactor  = 1.5 // recent service time up to this multiple of the baseline allows growth
+	nearFactor  = 1.5 // median service time up to this multiple of its long-term mean allows growth
 	baseWeight  = 64  // responses over which the baseline is averaged
 	shortWeight = 8   // responses over which recent values are averaged
 	// One failure among eight responses is common in applications; two or more point to a failing target.
 	failingCut = 0.2
 	// Within this time without a response a target can be replaced unnoticed, so that the limit is halved.
 	idleCut = 10 * time.Second
+	// After a reduction the limit stays below the value that was too high for this time, so that finding the
+	// capacity of a target costs it at most one request too many a second.
+	holdFor = time.Second
 	// Assumed until the first response.
 	firstService = 10 * time.Millisecond
 )
@@ -21,7 +27,9 @@
 type Limit struct {
 	slots   int
 	value   int
-	credit  int           // good responses at full use since the last change
+	credit  int // responses at full use since the last change, the good ones less those beyond nearFactor
+	ceiling int // largest value until the hold ends, zero for none
+	hold    time.Time
 	slow    int           // slow responses in a row
 	held    time.Duration // sum of the slow responses in a row that are not in the baseline yet
 	holding int           // number of these
@@ -29,6 +37,10 @@
 	base    time.Duration
 	spread  time.Duration // mean absolute deviation from the baseline
 	recent  time.Duration
+	window  [shortWeight]time.Duration // last service times since the limit changed, a ring
+	filled  int
+	next    int
+	middle  time.Duration // long-term mean of the window's median
 	failing float64
 	cut     time.Time // last reduction
 	heard   time.Time // last response
@@ -63,15 +75,21 @@
 
 // WithCold returns the limit of a target that started anew.
 func (l Limit) WithCold(now time.Time) Limit {
-	l.value, l.credit, l.slow, l.cut = 1, 0, 0, now
+	l.slow, l.cut = 0, now
 	l.held, l.holding = 0, 0
-	return l
+	return l.withValue(1)
 }
 
 // WithHalf returns half of the limit.
 func (l Limit) WithHalf(now time.Time) Limit {
-	l.value, l.credit, l.cut = max(l.value/2, 1), 0, now
-	return l
+	l.cut = now
+	return l.withValue(max(l.value/2, 1))
+}
+
+// withCut returns half of the limit and holds it below the present value.
+func (l Limit) withCut(now time.Time) Limit {
+	l.ceiling, l.hold = max(l.value-1, 1), now.Add(holdFor)
+	return l.WithHalf(now)
 }
 
 // WithIdle returns the limit after a time without responses.
@@ -100,8 +118,11 @@
 	after := !started.Before(l.cut)
 	latency = max(latency, time.Microsecond)
 	if l.seen == 0 {
-		l.base, l.recent = latency, latency
+		l.base, l.recent, l.middle = latency, latency, latency
 	}
+	l.window[l.next] = latency
+	l.next = (l.next + 1) % shortWeight
+	l.filled = min(l.filled+1, shortWeight)
 	slow := l.Slow() > 0 && latency > l.Slow()
 	l.seen = min(l.seen+1, baseWeight)
 	l.recent += (latency - l.recent) / time.Duration(min(l.seen, shortWeight))
@@ -132,22 +153,55 @@
 		l.usual = started
 	}
 	// Requests that started under a higher limit say nothing about the present one.
-	if !full || !after || l.value >= l.slots || float64(l.recent) > nearFactor*float64(l.base) {
+	if !full || !after {
+		return l
+	}
+	// The median leaves expensive requests of a mixed load aside; an overloaded target makes all of them slower.
+	if median := l.median(); float64(median) > nearFactor*float64(l.middle) {
+		return l.withDebit(now)
+	}
+	if l.value >= l.slots || (l.ceiling > 0 && l.value >= l.ceiling && now.Before(l.hold)) {
+		l.credit = min(l.credit+1, 0)
 		return l
 	}
 	l.credit++
 	if l.credit >= l.value {
-		l.value, l.credit = l.value+1, 0
+		return l.withValue(l.value + 1)
 	}
 	return l
 }
 
+// withDebit lowers the limit by one after as many responses as the limit while service times are above the baseline.
+func (l Limit) withDebit(now time.Time) Limit {
+	l.credit--
+	if l.value > 1 && -l.credit >= l.value {
+		l.ceiling, l.hold = l.value-1, now.Add(holdFor)
+		return l.withValue(l.value - 1)
+	}
+	l.credit = max(l.credit, -l.value)
+	return l
+}
+
+func (l Limit) median() time.Duration {
+	window := l.window
+	sorted := window[:l.filled]
+	slices.Sort(sorted)
+	return (sorted[(l.filled-1)/2] + sorted[l.filled/2]) / 2
+}
+
+// withValue returns the limit with another value, for which responses are counted anew.
+func (l Limit) withValue(value int) Limit {
+	l.value, l.credit, l.filled, l.next = value, 0, 0, 0
+	return l
+}
+
 // withBase takes n responses of the given mean into the baseline, whose first values count more than later ones.
 func (l Limit) withBase(latency time.Duration, n, weight int) Limit {
 	// A factor of 4 keeps the baseline behind the recent mean while a target slows down during its first responses.
 	w := max(min(4*l.seen, weight), n)
 	l.spread += ((latency - l.base).Abs() - l.spread) * time.Duration(n) / time.Duration(w)
 	l.base += (latency - l.base) * time.Duration(n) / time.Duration(w)
+	l.middle += (l.median() - l.middle) * time.Duration(n) / time.Duration(w)
 	return l
 }
 
@@ -162,7 +216,7 @@
 			return l.WithCold(now)
 		}
 	case n == slowCut && overdue == 0:
-		return l.WithHalf(now)
+		return l.withCut(now)
 	}
 	return l
 }
@@ -172,7 +226,7 @@
 	l.heard = now
 	l.failing += (1 - l.failing) / shortWeight
 	if l.failing >= failingCut && 2*latency < l.base {
-		return l.WithHalf(now)
+		return l.withCut(now)
 	}
 	return l
 }
@@ -181,7 +235,7 @@
 func (l Limit) WithShed(now time.Time) Limit {
 	l.heard = now
 	l.failing += (1 - l.failing) / shortWeight
-	return l.WithHalf(now)
+	return l.withCut(now)
 }
 
 // WithRefused returns the limit after the target refused a connection.
