Add a stand-in for the configuration service and the instance list

Nodes read both over HTTP, and must survive that either is down, stale or late. Add measure/platform: values with etags and long polls, an instance list for each view, switches down, stale (versions behind) and lag (milliseconds), counts of calls a second, and changes on an admin listener of its own. A view shows a failure domain the addresses by which it reaches the others, so that links between domains can be delayed and cut.

--- /dev/null
+++ b/measure/platform/server.go
@@ -0,0 +1,260 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"verbenapin.dev/node/instance"
+	"verbenapin.dev/node/loop"
+)
+
+const (
+	// maxValue is the largest value that the configuration service holds.
+	maxValue = 1 << 20
+	// maxWait bounds a long poll.
+	maxWait = time.Minute
+	// closeTimeout bounds the wait for calls that are being answered.
+	closeTimeout = time.Second
+)
+
+// Server answers readers on one or more listeners and takes changes on its admin listener.
+type Server struct {
+	loop    *loop.Loop
+	state   State
+	changed chan struct{}
+	closing chan struct{}
+	once    sync.Once
+	served  sync.WaitGroup
+	servers []*http.Server
+}
+
+// New returns a platform without values; Close ends it.
+func New() *Server {
+	s := &Server{loop: loop.New(time.Now), changed: make(chan struct{}), closing: make(chan struct{})}
+	s.served.Go(func() { _ = s.loop.Serve(context.Background()) })
+	return s
+}
+
+// Listen serves readers on addr; view selects the instance list that they see.
+func (s *Server) Listen(addr, view string) (string, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/values/{name}", func(w http.ResponseWriter, r *http.Request) {
+		name := r.PathValue("name")
+		s.answer(w, r, func(st State) (Value, Switch) { return st.values[name], st.faults.Values })
+	})
+	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, r *http.Request) {
+		s.answer(w, r, func(st State) (Value, Switch) { return st.lists[view], st.faults.Instances })
+	})
+	return s.listen(addr, mux)
+}
+
+// ListenAdmin serves changes of values, lists and faults on addr, which nodes don't know.
+func (s *Server) ListenAdmin(addr string) (string, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/values/{name}", func(w http.ResponseWriter, r *http.Request) {
+		s.take(w, r, func(data []byte) error { return s.Set(r.PathValue("name"), data) })
+	})
+	mux.HandleFunc("PUT /v1/instances", func(w http.ResponseWriter, r *http.Request) {
+		s.take(w, r, func(data []byte) error { return s.setList(r.URL.Query().Get("view"), data) })
+	})
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		s.take(w, r, func(data []byte) error {
+			var f Faults
+			if err := json.Unmarshal(data, &f); err != nil {
+				return fmt.Errorf("platform: reading faults: %w", err)
+			}
+			return s.SetFaults(f)
+		})
+	})
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(s.Calls())
+	})
+	return s.listen(addr, mux)
+}
+
+// Set publishes a new version of a configuration value.
+func (s *Server) Set(name string, data []byte) error {
+	if len(data) > maxValue {
+		return fmt.Errorf("platform: value %s has %d bytes, more than %d", name, len(data), maxValue)
+	}
+	return s.change(func(now time.Time, st State) State { return st.WithValue(now, name, data) })
+}
+
+// SetInstances publishes a new instance list for readers of one view.
+func (s *Server) SetInstances(view string, list []instance.Instance) error {
+	data, err := json.Marshal(list)
+	if err != nil {
+		return fmt.Errorf("platform: encoding the instance list: %w", err)
+	}
+	return s.setList(view, data)
+}
+
+func (s *Server) setList(view string, data []byte) error {
+	return s.change(func(now time.Time, st State) State { return st.WithList(now, view, data) })
+}
+
+// SetFaults replaces the faults of both endpoints.
+func (s *Server) SetFaults(f Faults) error {
+	return s.change(func(_ time.Time, st State) State { return st.WithFaults(f) })
+}
+
+// Calls returns the counts of readers' calls.
+func (s *Server) Calls() Calls {
+	var c Calls
+	_ = s.loop.Call(context.Background(), func(time.Time) { c = s.state.calls })
+	return c
+}
+
+// Close ends all listeners and waits.
+func (s *Server) Close() {
+	s.once.Do(func() { close(s.closing) })
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var servers []*http.Server
+	_ = s.loop.Call(ctx, func(time.Time) { servers = s.servers })
+	for _, h := range servers {
+		if h.Shutdown(ctx) != nil {
+			_ = h.Close()
+		}
+	}
+	s.loop.Close()
+	s.served.Wait()
+}
+
+// change publishes a new state and wakes the waiting long polls.
+func (s *Server) change(f func(time.Time, State) State) error {
+	err := s.loop.Call(context.Background(), func(now time.Time) {
+		s.state = f(now, s.state)
+		close(s.changed)
+		s.changed = make(chan struct{})
+	})
+	if err != nil {
+		return fmt.Errorf("platform: changing the state: %w", err)
+	}
+	return nil
+}
+
+// answer serves one call, which waits while the value has the version that the caller knows.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, pick func(State) (Value, Switch)) {
+	wait, err := waitOf(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	known := strings.Trim(r.URL.Query().Get("etag"), `"`)
+	if s.loop.Call(r.Context(), func(now time.Time) { s.state.calls = s.state.calls.WithCall(now) }) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	expired := time.NewTimer(wait)
+	defer expired.Stop()
+	for {
+		var e Entry
+		var sw Switch
+		var ok bool
+		var next time.Duration
+		var changed chan struct{}
+		err := s.loop.Call(r.Context(), func(now time.Time) {
+			var v Value
+			v, sw = pick(s.state)
+			e, ok, next = v.Visible(now, sw)
+			changed = s.changed
+		})
+		switch {
+		case err != nil || sw.Down:
+			panic(http.ErrAbortHandler)
+		case !ok && wait == 0:
+			http.NotFound(w, r)
+			return
+		case ok && (wait == 0 || e.Etag != known):
+			w.Header().Set("Etag", `"`+e.Etag+`"`)
+			w.Header().Set("Content-Type", "application/octet-stream")
+			_, _ = w.Write(e.Data)
+			return
+		}
+		if !s.wait(r.Context(), changed, next, expired) {
+			if !ok {
+				http.NotFound(w, r)
+				return
+			}
+			w.Header().Set("Etag", `"`+e.Etag+`"`)
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
+}
+
+// wait returns false when the long poll has expired.
+func (s *Server) wait(ctx context.Context, changed chan struct{}, next time.Duration, expired *time.Timer) bool {
+	_ = s.loop.Post(ctx, func(time.Time) { s.state.calls = s.state.calls.WithWaiting(1) })
+	defer func() {
+		_ = s.loop.Post(context.Background(), func(time.Time) { s.state.calls = s.state.calls.WithWaiting(-1) })
+	}()
+	var visible <-chan time.Time
+	if next > 0 {
+		t := time.NewTimer(next)
+		defer t.Stop()
+		visible = t.C
+	}
+	select {
+	case <-changed:
+		return true
+	case <-visible:
+		return true
+	case <-expired.C:
+		return false
+	case <-ctx.Done():
+		return false
+	case <-s.closing:
+		return false
+	}
+}
+
+func waitOf(r *http.Request) (time.Duration, error) {
+	text := r.URL.Query().Get("wait")
+	if text == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return 0, fmt.Errorf("platform: wait %q is no duration", text)
+	}
+	return min(d, maxWait), nil
+}
+
+func (s *Server) take(w http.ResponseWriter, r *http.Request, put func([]byte) error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue))
+	if err == nil {
+		err = put(data)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) listen(addr string, handler http.Handler) (string, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", fmt.Errorf("platform: listening: %w", err)
+	}
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	if err := s.loop.Call(context.Background(), func(time.Time) { s.servers = append(s.servers, h) }); err != nil {
+		_ = l.Close()
+		return "", fmt.Errorf("platform: listening: %w", err)
+	}
+	s.served.Go(func() {
+		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			_ = l.Close()
+		}
+	})
+	return l.Addr().String(), nil
+}
