Check histories for doubled, lost, crossed and falsely refused requests

Add measure/history, with over-admission for all intervals at once. A request counts in an interval only if it was sent and executed within it, so a queue behind the admission causes no false excess; for exact times the result equals a token bucket's, which a generated test compares.

--- /dev/null
+++ b/measure/history/history_test.go
@@ -0,0 +1,88 @@
+package history
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+)
+
+// TestMain guards against goroutines that outlive a check, and fixes the seed so that every run generates the same inputs.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// TestCheck guards against a check that misses a planted fault or reports one in a correct history.
+func TestCheck(t *testing.T) {
+	ran := func(ids ...string) []Execution {
+		var list []Execution
+		for _, id := range ids {
+			list = append(list, Execution{ID: id})
+		}
+		return list
+	}
+	cases := map[string]struct {
+		calls      []Call
+		executions []Execution
+		want       Faults
+	}{
+		"correct":             {calls: []Call{{ID: "a", Outcome: Answered, AnswerID: "a"}, {ID: "b", Outcome: NotRun}}, executions: ran("a")},
+		"doubled":             {calls: []Call{{ID: "a", Outcome: Answered, AnswerID: "a"}}, executions: ran("a", "a"), want: Faults{Doubled: []string{"a"}}},
+		"retried, idempotent": {calls: []Call{{ID: "a", Outcome: Answered, AnswerID: "a", Idempotent: true}}, executions: ran("a", "a")},
+		"lost, broken":        {calls: []Call{{ID: "a", Outcome: Broken}}, executions: ran("a"), want: Faults{Lost: []string{"a"}}},
+		"lost, never ran":     {calls: []Call{{ID: "a", Outcome: Answered, AnswerID: "a"}}, want: Faults{Lost: []string{"a"}}},
+		"maybe ran":           {calls: []Call{{ID: "a", Outcome: MaybeRun}, {ID: "b", Outcome: MaybeRun}}, executions: ran("a")},
+		"crossed":             {calls: []Call{{ID: "a", Outcome: Answered, AnswerID: "b"}}, executions: ran("a"), want: Faults{Crossed: []string{"a"}}},
+		"false not run":       {calls: []Call{{ID: "a", Outcome: NotRun}}, executions: ran("a"), want: Faults{FalseNotRun: []string{"a"}}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.want, Check(tc.calls, tc.executions))
+		})
+	}
+}
+
+func at(ms int) time.Time { return time.UnixMilli(int64(ms)) }
+
+// TestExcess guards against over-admission that is missed in a short or a long interval, and against false excess by queueing.
+func TestExcess(t *testing.T) {
+	cases := map[string]struct {
+		spans []Span
+		want  float64
+	}{
+		"within the burst":         {spans: []Span{{at(0), at(0)}, {at(0), at(0)}}},
+		"beyond the burst":         {spans: []Span{{at(0), at(0)}, {at(0), at(0)}, {at(0), at(0)}}, want: 1},
+		"beyond the rate":          {spans: []Span{{at(0), at(0)}, {at(0), at(0)}, {at(100), at(100)}, {at(110), at(110)}}, want: 0.9},
+		"at the rate":              {spans: []Span{{at(0), at(0)}, {at(0), at(0)}, {at(100), at(100)}, {at(200), at(200)}}},
+		"bunched only by queueing": {spans: []Span{{at(0), at(300)}, {at(100), at(300)}, {at(200), at(300)}, {at(300), at(300)}}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.InDelta(t, tc.want, Excess(10, 2, tc.spans), 1e-9)
+		})
+	}
+}
+
+// TestExcessAgainstBucket guards against a difference from a token bucket, which gives the same excess when admission times are exact.
+func TestExcessAgainstBucket(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gaps := rapid.SliceOfN(rapid.IntRange(0, 300), 1, 60).Draw(t, "gaps")
+		const rate, burst = 10.0, 3.0
+		var spans []Span
+		ms, level, worst := 0, burst, 0.0
+		for _, gap := range gaps {
+			ms += gap
+			level = min(burst, level+rate*float64(gap)/1000) - 1
+			worst = max(worst, -level)
+			spans = append(spans, Span{at(ms), at(ms)})
+		}
+		require.InDelta(t, worst, Excess(rate, burst, spans), 1e-6)
+	})
+}
