Add an open-loop load generator that verifies each response

A closed loop hides stalls: its arrivals wait for the responses. Arrivals here are Poisson and latency counts from the intended start. Each response must belong to its request and be whole.

--- /dev/null
+++ b/measure/load/generator.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// maxOutstanding bounds the goroutines of a run; arrivals beyond it are counted as skipped.
+	maxOutstanding = 8000
+	// maxArrivals bounds a run.
+	maxArrivals = 2_000_000
+)
+
+// Source produces the requests of one stream, for example of one account.
+type Source struct {
+	Rate    float64 // requests per second, Poisson arrivals
+	Entries []string
+	Next    func(n int) Request
+}
+
+// Plan is an open-loop run: requests start at their time whether or not earlier ones were answered.
+type Plan struct {
+	Sources []Source
+	For     time.Duration
+	Seed    uint64
+}
+
+// Run sends the requests of a plan and returns when all are answered; a cancelled ctx ends the arrivals.
+func (c Caller) Run(ctx context.Context, p Plan) Result {
+	results := make([]Result, len(p.Sources))
+	var all sync.WaitGroup
+	for i, s := range p.Sources {
+		all.Go(func() { results[i] = c.runSource(ctx, s, p.For, rand.New(rand.NewPCG(p.Seed, uint64(i)))) }) //nolint:gosec // arrivals are repeatable
+	}
+	all.Wait()
+	var r Result
+	for _, part := range results {
+		r = r.With(part)
+	}
+	return r
+}
+
+func (c Caller) runSource(ctx context.Context, s Source, length time.Duration, random *rand.Rand) Result {
+	answered := make(chan Answer, 64)
+	collected := make(chan []Answer, 1)
+	go func() {
+		var answers []Answer
+		for a := range answered {
+			answers = append(answers, a)
+		}
+		collected <- answers
+	}()
+	var sent sync.WaitGroup
+	skipped := 0
+	places := make(chan struct{}, maxOutstanding)
+	start := time.Now()
+	next := start
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	<-timer.C
+arrivals:
+	for n := range maxArrivals {
+		next = next.Add(time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second)))
+		if next.Sub(start) > length {
+			break
+		}
+		if wait := time.Until(next); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				break arrivals
+			}
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			skipped++
+			continue
+		}
+		request, entry, intended := s.Next(n), s.Entries[random.IntN(len(s.Entries))], next
+		sent.Go(func() {
+			defer func() { <-places }()
+			// Arrivals end with ctx, requests that were sent are still awaited; the client's timeout bounds them.
+			answered <- c.Do(context.WithoutCancel(ctx), entry, request, intended)
+		})
+	}
+	sent.Wait()
+	close(answered)
+	return Result{answers: <-collected, skipped: skipped}
+}
--- /dev/null
+++ b/measure/load/load_test.go
@@ -0,0 +1,128 @@
+package load
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"verbenapin.dev/measure/history"
+	"verbenapin.dev/measure/upstream"
+	"verbenapin.dev/node/answer"
+)
+
+// TestMain guards against requests that outlive a run.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestVerify guards against a caller that takes a cut, changed or foreign response for a good one.
+func TestVerify(t *testing.T) {
+	settings := upstream.Defaults("t1")
+	settings.Service = time.Microsecond
+	target := upstream.New(settings)
+	defer target.Close()
+	addr, err := target.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	forward := func(change func(http.ResponseWriter, *http.Response)) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			out, _ := http.NewRequest(r.Method, "http://"+addr+r.URL.RequestURI(), r.Body)
+			out.Header, out.ContentLength = r.Header, r.ContentLength
+			res, err := http.DefaultTransport.RoundTrip(out)
+			if err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			defer res.Body.Close()
+			for n, v := range res.Header {
+				w.Header()[n] = v
+			}
+			change(w, res)
+		}
+	}
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		want    history.Outcome
+		foreign bool
+	}{
+		"whole": {handler: forward(func(w http.ResponseWriter, res *http.Response) { _, _ = io.Copy(w, res.Body) }), want: history.Answered},
+		"cut": {handler: forward(func(w http.ResponseWriter, res *http.Response) {
+			_, _ = io.CopyN(w, res.Body, 100)
+			panic(http.ErrAbortHandler)
+		}), want: history.Broken},
+		"cut, but ended cleanly": {handler: forward(func(w http.ResponseWriter, res *http.Response) {
+			w.Header().Del("Content-Length")
+			_, _ = io.CopyN(w, res.Body, 100)
+		}), want: history.Broken},
+		"other content": {handler: forward(func(w http.ResponseWriter, res *http.Response) {
+			_, _ = w.Write(make([]byte, res.ContentLength))
+		}), want: history.Broken},
+		"other request": {handler: forward(func(w http.ResponseWriter, res *http.Response) {
+			w.Header().Set(upstream.HeaderID, "other")
+			_, _ = io.Copy(w, res.Body)
+		}), want: history.Answered, foreign: true},
+		"not run": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			answer.Write(w, answer.NotRun(answer.Busy, ""), "")
+		}, want: history.NotRun},
+		"maybe run": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			answer.Write(w, answer.MaybeRun(answer.Lost, ""), "")
+		}, want: history.MaybeRun},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			defer http.DefaultClient.CloseIdleConnections()
+			s := httptest.NewServer(tc.handler)
+			defer s.Close()
+			c := NewCaller(10 * time.Second)
+			defer c.Close()
+			r := Request{ID: "1", Method: "POST", Path: "/x?bytes=1000", Body: "check-in"}
+			call := c.Do(context.Background(), s.Listener.Addr().String(), r, time.Now()).Call()
+			require.Equal(t, tc.want, call.Outcome)
+			require.Equal(t, tc.foreign, call.AnswerID == "other")
+		})
+	}
+}
+
+// TestRun guards against arrivals that wait for responses: no request is answered before a number of them has arrived.
+func TestRun(t *testing.T) {
+	const together = 20
+	var arrived atomic.Int64
+	all := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if arrived.Add(1) == together {
+			close(all)
+		}
+		<-all
+		answer.Write(w, answer.NotRun(answer.Busy, ""), "")
+	}))
+	defer s.Close()
+	c := NewCaller(20 * time.Second)
+	defer c.Close()
+	r := c.Run(context.Background(), Plan{For: 500 * time.Millisecond, Seed: 1, Sources: []Source{{
+		Rate: 200, Entries: []string{s.Listener.Addr().String()}, Next: func(int) Request { return Request{Method: "GET", Path: "/", Account: "a"} },
+	}}})
+	require.GreaterOrEqual(t, len(r.Answers()), together)
+	require.Zero(t, r.Skipped())
+	require.Equal(t, 1.0, r.Account("a").Share(func(a Answer) bool { return a.Code == "busy" }))
+}
+
+// TestBroken guards against a caller that repeats a request on its own.
+func TestBroken(t *testing.T) {
+	var arrived atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if arrived.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		answer.Write(w, answer.NotRun(answer.Busy, ""), "")
+	}))
+	defer s.Close()
+	c := NewCaller(10 * time.Second)
+	defer c.Close()
+	for range 2 {
+		c.Do(context.Background(), s.Listener.Addr().String(), Request{Method: "GET", Path: "/"}, time.Now())
+	}
+	require.Equal(t, int64(2), arrived.Load())
+}
