--- /dev/null
+++ b/measure/deployment/deployment.go
@@ -0,0 +1,225 @@
+// Package deployment describes the deployments that the measuring program sets up, and writes their configuration trees.
+package deployment
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"verbenapin.dev/measure/upstream"
+)
+
+// Domains are the failure domains of a deployment.
+var Domains = []string{"a", "b", "c"}
+
+// Service is a group of equal targets.
+type Service struct {
+	Name    string
+	Targets int
+	Slots   int
+	Time    time.Duration // mean service time
+}
+
+// Route is a route of a service.
+type Route struct {
+	Name       string
+	Path       string
+	Service    string
+	Idempotent bool
+	Open       bool
+	Deadline   time.Duration
+	Slots      int
+}
+
+// Account is a client account; its key exists only in the measuring program.
+type Account struct {
+	Name   string
+	Keys   []string
+	Rate   float64
+	Burst  float64
+	Routes []string
+}
+
+// Deployment is one version of a deployment's configuration.
+type Deployment struct {
+	Name     string
+	Host     string
+	services []Service
+	routes   []Route
+	accounts map[string]Account
+	out      []string
+	homes    []string
+}
+
+// Abitudini returns the deployment of the streak-keeping service.
+func Abitudini() Deployment {
+	d := Deployment{
+		Name: "abitudini", Host: "streaks.example", homes: []string{"a1", "b1", "c1"},
+		services: []Service{
+			{Name: "history", Targets: 7, Slots: 12, Time: 5 * time.Millisecond},
+			{Name: "checkins", Targets: 5, Slots: 12, Time: 5 * time.Millisecond},
+			{Name: "exports", Targets: 3, Slots: 12, Time: 8 * time.Millisecond},
+		},
+		routes: []Route{
+			{Name: "history", Path: "/history", Service: "history", Idempotent: true, Slots: 12},
+			{Name: "checkins", Path: "/checkins", Service: "checkins", Slots: 12},
+			{Name: "settings", Path: "/settings", Service: "checkins", Idempotent: true, Slots: 12},
+			{Name: "exports", Path: "/exports", Service: "exports", Idempotent: true, Slots: 12, Deadline: 30 * time.Second},
+			{Name: "schedules", Path: "/schedules", Service: "exports", Idempotent: true, Slots: 12},
+		},
+	}
+	public := []string{"history", "checkins", "exports"}
+	for _, name := range []string{"lombardia", "piemonte", "veneto", "lazio", "puglia", "sicilia"} {
+		d = d.WithAccount(newAccount(name, 100, 100, public))
+	}
+	return d.WithAccount(newAccount("lombardia", 600, 400, public)).WithAccount(newAccount("lazio", 400, 300, public)).
+		WithAccount(newAccount("profile", 200, 200, []string{"settings"})).
+		WithAccount(newAccount("reminders", 200, 200, []string{"schedules"}))
+}
+
+// ChueDee returns the deployment of the name consultancy.
+func ChueDee() Deployment {
+	d := Deployment{
+		Name: "chuedee", Host: "names.example", homes: []string{"a1", "b1", "c1"},
+		services: []Service{
+			{Name: "shortlists", Targets: 7, Slots: 9, Time: 8 * time.Millisecond},
+			{Name: "reservations", Targets: 4, Slots: 9, Time: 8 * time.Millisecond},
+			{Name: "dossiers", Targets: 3, Slots: 9, Time: 12 * time.Millisecond},
+		},
+		routes: []Route{
+			{Name: "shortlists", Path: "/shortlists", Service: "shortlists", Idempotent: true, Slots: 9},
+			{Name: "reservations", Path: "/reservations", Service: "reservations", Slots: 9},
+			{Name: "dossiers", Path: "/dossiers", Service: "dossiers", Idempotent: true, Slots: 9, Deadline: 30 * time.Second},
+			{Name: "conflicts", Path: "/conflicts", Service: "dossiers", Idempotent: true, Slots: 9},
+		},
+	}
+	public := []string{"shortlists", "reservations", "dossiers"}
+	for _, name := range []string{"bangkok", "chiangmai", "phuket", "khonkaen", "hatyai", "udon"} {
+		d = d.WithAccount(newAccount(name, 60, 60, public))
+	}
+	return d.WithAccount(newAccount("bangkok", 300, 200, public)).WithAccount(newAccount("chiangmai", 200, 150, public)).
+		WithAccount(newAccount("checker", 150, 150, []string{"conflicts"})).
+		WithAccount(newAccount("trademarks", 100, 100, []string{"conflicts"}))
+}
+
+// NewKey returns the n-th key of an account; keys are recognizable so that one that leaks is found.
+func NewKey(account string, n int) string {
+	return fmt.Sprintf("%s%s-%d", upstream.KeyMark, account, n)
+}
+
+func newAccount(name string, rate, burst float64, routes []string) Account {
+	return Account{Name: name, Keys: []string{NewKey(name, 1)}, Rate: rate, Burst: burst, Routes: routes}
+}
+
+// Services returns the services.
+func (d Deployment) Services() []Service { return d.services }
+
+// Routes returns the routes.
+func (d Deployment) Routes() []Route { return d.routes }
+
+// Account returns an account.
+func (d Deployment) Account(name string) Account { return d.accounts[name] }
+
+// Accounts returns all accounts in the order of their names.
+func (d Deployment) Accounts() []Account {
+	var list []Account
+	for _, name := range slices.Sorted(maps.Keys(d.accounts)) {
+		list = append(list, d.accounts[name])
+	}
+	return list
+}
+
+// WithAccount returns d with an account added or replaced.
+func (d Deployment) WithAccount(a Account) Deployment {
+	d.accounts = maps.Clone(d.accounts)
+	if d.accounts == nil {
+		d.accounts = map[string]Account{}
+	}
+	d.accounts[a.Name] = a
+	return d
+}
+
+// WithKeys returns d with other keys of an account.
+func (d Deployment) WithKeys(account string, keys ...string) Deployment {
+	a := d.accounts[account]
+	a.Keys = keys
+	return d.WithAccount(a)
+}
+
+// WithOut returns d with the given failure domains taken out.
+func (d Deployment) WithOut(domains ...string) Deployment {
+	d.out = domains
+	return d
+}
+
+// WithTargets returns d with only some services, and n targets of each.
+func (d Deployment) WithTargets(n int, services ...string) Deployment {
+	var list []Service
+	for _, s := range d.services {
+		if len(services) == 0 || slices.Contains(services, s.Name) {
+			s.Targets = n
+			list = append(list, s)
+		}
+	}
+	d.services = list
+	return d
+}
+
+// YAML returns the configuration tree.
+func (d Deployment) YAML() []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "fleet:\n  homes: [%s]\n  retired: []\n  out: [%s]\n", strings.Join(d.homes, ", "), strings.Join(d.out, ", "))
+	b.WriteString("routes:\n  base: {deadline: 2s, retries: 10%, hedge: 0%, probe: 0.5%, slots: 12}\n")
+	for _, r := range d.routes {
+		fmt.Fprintf(&b, "  %s: {parent: base, host: %s, path: %s, service: %s, slots: %d", r.Name, d.Host, r.Path, r.Service, r.Slots)
+		if r.Idempotent {
+			b.WriteString(", idempotent: true")
+		}
+		if r.Open {
+			b.WriteString(", open: true")
+		}
+		if r.Deadline > 0 {
+			fmt.Fprintf(&b, ", deadline: %s", r.Deadline)
+		}
+		b.WriteString("}\n")
+	}
+	b.WriteString("accounts:\n  base: {rate: 50/s, burst: 100, routes: []}\n")
+	for _, a := range d.Accounts() {
+		var keys []string
+		for _, k := range a.Keys {
+			sum := sha256.Sum256([]byte(k))
+			keys = append(keys, fmt.Sprintf("%q", "sha256:"+hex.EncodeToString(sum[:])))
+		}
+		fmt.Fprintf(&b, "  %s: {parent: base, rate: %g/s, burst: %g, routes: [%s], keys: [%s]}\n",
+			a.Name, a.Rate, a.Burst, strings.Join(a.Routes, ", "), strings.Join(keys, ", "))
+	}
+	return []byte(b.String())
+}
+
+type manifest struct {
+	Version int64  `json:"version"`
+	Parts   []part `json:"parts"`
+}
+
+type part struct {
+	Name   string `json:"name"`
+	Sha256 string `json:"sha256"`
+}
+
+// Pack returns the manifest of a version and its parts by name.
+func (d Deployment) Pack(version int64) ([]byte, map[string][]byte, error) {
+	data := d.YAML()
+	sum := sha256.Sum256(data)
+	digest := hex.EncodeToString(sum[:])
+	name := "part-" + digest
+	m, err := json.Marshal(manifest{Version: version, Parts: []part{{Name: name, Sha256: digest}}})
+	if err != nil {
+		return nil, nil, fmt.Errorf("deployment: encoding the manifest: %w", err)
+	}
+	return m, map[string][]byte{name: data}, nil
+}
