--- /dev/null
+++ b/measure/report/report.go
@@ -0,0 +1,90 @@
+// Package report writes the figures and plots of a measurement.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+)
+
+// Figure is one measured value; pass compares it with its bound.
+type Figure struct {
+	Name  string   `json:"name"`
+	Value *float64 `json:"value"` // null if it was not measured
+	Unit  string   `json:"unit"`
+	Bound *float64 `json:"bound"`
+	Pass  bool     `json:"pass"`
+	Naive *float64 `json:"naive"` // value under the naive policy in the same run
+	Note  string   `json:"note,omitempty"`
+}
+
+// NewFigure returns a figure without a bound.
+func NewFigure(name string, value float64, unit string) Figure {
+	v := round(value)
+	return Figure{Name: name, Value: &v, Unit: unit, Pass: true}
+}
+
+// NewMissing returns a figure that was not measured; it does not pass.
+func NewMissing(name, unit, note string) Figure {
+	return Figure{Name: name, Unit: unit, Note: note}
+}
+
+// WithAtMost returns f with an upper bound.
+func (f Figure) WithAtMost(bound float64) Figure {
+	f.Bound = &bound
+	f.Pass = f.Value != nil && *f.Value <= bound
+	return f
+}
+
+// WithAtLeast returns f with a lower bound.
+func (f Figure) WithAtLeast(bound float64) Figure {
+	f.Bound = &bound
+	f.Pass = f.Value != nil && *f.Value >= bound
+	return f
+}
+
+// WithNaive returns f with the value under the naive policy.
+func (f Figure) WithNaive(value float64) Figure {
+	v := round(value)
+	f.Naive = &v
+	return f
+}
+
+// WithNote returns f with a remark.
+func (f Figure) WithNote(note string) Figure {
+	f.Note = note
+	return f
+}
+
+// Line returns the figure as a line of text.
+func (f Figure) Line() string {
+	return fmt.Sprintf("%-20s %12s %-8s bound %-8s naive %-10s pass %t  %s", f.Name, text(f.Value), f.Unit, text(f.Bound), text(f.Naive), f.Pass, f.Note)
+}
+
+// Write stores the figures as a JSON array.
+func Write(path string, figures []Figure) error {
+	data, err := json.MarshalIndent(figures, "", "  ")
+	if err != nil {
+		return fmt.Errorf("report: encoding figures: %w", err)
+	}
+	if err := os.WriteFile(path, append(data, '\n'), 0o600); err != nil {
+		return fmt.Errorf("report: writing figures: %w", err)
+	}
+	return nil
+}
+
+func text(v *float64) string {
+	if v == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%g", *v)
+}
+
+// round keeps four digits after the point, and values that JSON can hold.
+func round(v float64) float64 {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return math.MaxFloat32
+	}
+	return math.Round(v*1e4) / 1e4
+}
