--- /dev/null
+++ b/measure/fleet/state.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ticks is the kernel's unit of process times, in ticks a second.
+const ticks = 100
+
+// State is the part of a node's state that measurements read.
+type State struct {
+	Version int64  `json:"version"`
+	Verdict string `json:"verdict"`
+}
+
+// State returns the state that a node reports.
+func (f *Fleet) State(ctx context.Context, name string) (State, error) {
+	var s State
+	err := f.get(ctx, name, "/state", &s)
+	return s, err
+}
+
+func (f *Fleet) get(ctx context.Context, name, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.Node(name).Admin+path, nil)
+	if err != nil {
+		return fmt.Errorf("fleet: asking %s: %w", name, err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("fleet: asking %s: %w", name, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode >= 300 {
+		return fmt.Errorf("fleet: %s answered %s to %s", name, res.Status, path)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.NewDecoder(res.Body).Decode(into); err != nil {
+		return fmt.Errorf("fleet: reading the state of %s: %w", name, err)
+	}
+	return nil
+}
+
+// CPU returns the processor time that a node has used.
+func (f *Fleet) CPU(name string) (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", f.processes[name].Pid()))
+	if err != nil {
+		return 0, fmt.Errorf("fleet: reading the processor time of %s: %w", name, err)
+	}
+	// The name of the program, in brackets, may contain spaces; user and system time are the 12th and 13th fields after it.
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	if len(fields) < 13 {
+		return 0, fmt.Errorf("fleet: processor time of %s has %d fields", name, len(fields))
+	}
+	user, err := strconv.ParseInt(fields[11], 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("fleet: reading the processor time of %s: %w", name, err)
+	}
+	system, err := strconv.ParseInt(fields[12], 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("fleet: reading the processor time of %s: %w", name, err)
+	}
+	return time.Duration(user+system) * time.Second / ticks, nil
+}
+
+// RSS returns the memory of a node that is resident, in bytes.
+func (f *Fleet) RSS(name string) (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", f.processes[name].Pid()))
+	if err != nil {
+		return 0, fmt.Errorf("fleet: reading the memory of %s: %w", name, err)
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0, fmt.Errorf("fleet: memory of %s has %d fields", name, len(fields))
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("fleet: reading the memory of %s: %w", name, err)
+	}
+	return pages * int64(os.Getpagesize()), nil
+}
