--- a/measure/main.go
+++ b/measure/main.go
@@ -1,4 +1,109 @@
-// Command measure runs the demo, the load and the measurements.
+// Command measure runs the demo, the stand-ins and the measurements.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"verbenapin.dev/measure/certs"
+	"verbenapin.dev/measure/demo"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string) int {
+	parser := flags.NewNamedParser("measure", flags.HelpFlag|flags.PassDoubleDash)
+	commands := map[string]struct {
+		text string
+		data any
+	}{
+		"demo":  {text: "Start both deployments, send requests, clean up", data: &demoCommand{ctx: ctx}},
+		"certs": {text: "Write throwaway certificates for nodes", data: &certsCommand{}},
+	}
+	for name, c := range commands {
+		if _, err := parser.AddCommand(name, c.text, c.text+".", c.data); err != nil {
+			return fail(err, 1)
+		}
+	}
+	standin, err := parser.AddCommand("standin", "Run a stand-in", "Run a stand-in of an outside system.", &struct{}{})
+	if err == nil {
+		_, err = standin.AddCommand("platform", "Run the platform", "Run the configuration service and the instance list.", &platformCommand{ctx: ctx})
+	}
+	if err == nil {
+		_, err = standin.AddCommand("target", "Run a target", "Run a target.", &targetCommand{ctx: ctx})
+	}
+	if err != nil {
+		return fail(err, 1)
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) {
+			if usage.Type == flags.ErrHelp {
+				fmt.Println(usage.Message)
+				return 0
+			}
+			return fail(err, 2)
+		}
+		return fail(err, 1)
+	}
+	return 0
+}
+
+func fail(err error, code int) int {
+	fmt.Fprintln(os.Stderr, "measure:", err)
+	return code
+}
+
+// nodeBinary returns the node program beside this one.
+func nodeBinary(given string) (string, error) {
+	if given != "" {
+		return given, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "", fmt.Errorf("measure: finding the node program: %w", err)
+	}
+	return filepath.Join(filepath.Dir(self), "node"), nil
+}
+
+type demoCommand struct {
+	Node string `long:"node" env:"MEASURE_NODE" description:"node program, by default the one beside this program"`
+	ctx  context.Context
+}
+
+// Execute runs the demo.
+func (c *demoCommand) Execute([]string) error {
+	binary, err := nodeBinary(c.Node)
+	if err != nil {
+		return err
+	}
+	return demo.New(binary, os.Stdout).Run(c.ctx)
+}
+
+type certsCommand struct {
+	Dir  string `long:"dir" default:"certs" description:"directory to write to"`
+	Args struct {
+		Names []string `positional-arg-name:"name" required:"1" description:"instance names"`
+	} `positional-args:"yes"`
+}
+
+// Execute writes the certificates.
+func (c *certsCommand) Execute([]string) error {
+	a, err := certs.NewAuthority()
+	if err != nil {
+		return err
+	}
+	return a.Write(c.Dir, c.Args.Names)
+}
