Assemble the node: requests pass from caller to target and back

Cause: the slices stood alone; no request was served. Change: node, control connections, state, graceful shutdown, demo over both deployments. The demo repeats a request that is refused for its rate while the fleet settles, because homes mint nothing for the 2 s of a lease after a start.

--- a/measure/demo/demo.go
+++ b/measure/demo/demo.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -20,6 +21,11 @@
 	limit = 55 * time.Second
 	// timeout bounds one request, of which the largest transfers 64 MB.
 	timeout = 20 * time.Second
+	// settle is how long a fleet that started all at once may refuse accounts: its homes mint nothing for the 2 s
+	// of a lease, because tokens of an earlier run could still be spent, and then start with no tokens.
+	settle = 10 * time.Second
+	// settlePause is the time between two tries of a request meanwhile.
+	settlePause = 200 * time.Millisecond
 )
 
 // Demo runs the steps for each deployment.
@@ -63,7 +69,7 @@
 		s.deployment.Name, len(f.Nodes()), len(deployment.Domains), time.Since(started).Seconds())
 	caller := load.NewCaller(timeout)
 	defer caller.Close()
-	wrong := d.steps(ctx, s, caller, f.Entries())
+	wrong := d.steps(ctx, s, caller, f.Entries(), time.Now().Add(settle))
 	wrong += d.check("no target saw a key or an internal header", checkHeaders(f))
 	wrong += d.check("each check-in or reservation ran once", checkOnce(f, s))
 	wrong += d.check("all nodes shut down gracefully", f.Stop())
@@ -74,7 +80,7 @@
 }
 
 // steps sends each step's requests one after the other, and returns the number of wrong answers.
-func (d Demo) steps(ctx context.Context, s script, caller load.Caller, entries []string) int {
+func (d Demo) steps(ctx context.Context, s script, caller load.Caller, entries []string, settled time.Time) int {
 	wrong := 0
 	for i, step := range s.steps {
 		var answers []load.Answer
@@ -82,7 +88,11 @@
 			r := step.request
 			r.ID = fmt.Sprintf("%s-%d-%d", s.deployment.Name, i, n)
 			r.Host = s.deployment.Host
-			answers = append(answers, caller.Do(ctx, entries[(i+n)%len(entries)], r, time.Now()))
+			send := func() load.Answer { return caller.Do(ctx, entries[(i+n)%len(entries)], r, time.Now()) }
+			if step.times > 1 {
+				settled = time.Time{}
+			}
+			answers = append(answers, whenSettled(ctx, settled, send))
 		}
 		last := answers[len(answers)-1]
 		text := fmt.Sprintf("%s: %s %s → %s", step.name, step.request.Method, step.request.Path, describe(last))
@@ -91,6 +101,21 @@
 	return wrong
 }
 
+// whenSettled sends a request again while its account has no tokens yet.
+func whenSettled(ctx context.Context, settled time.Time, send func() load.Answer) load.Answer {
+	for {
+		a := send()
+		if a.Status != http.StatusTooManyRequests || time.Now().After(settled) {
+			return a
+		}
+		select {
+		case <-ctx.Done():
+			return a
+		case <-time.After(settlePause):
+		}
+	}
+}
+
 func describe(a load.Answer) string {
 	switch {
 	case a.Err != nil:
--- a/node/account/control.go
+++ b/node/account/control.go
@@ -77,6 +77,17 @@
 	a.sends.Wait()
 }
 
+// OnTree adopts a version; it must be called on the control goroutine, before the version is announced.
+func (a *Limiter) OnTree(now time.Time, t config.Tree) {
+	a.ledger.SetShares(a.since(now), NewShares(a.self, t))
+	a.book.SetHomes(HomesOf(t))
+}
+
+// OnKnown adopts the versions known of other homes; it must be called on the control goroutine.
+func (a *Limiter) OnKnown(now time.Time, known map[string]int64) {
+	a.ledger.SetKnown(a.since(now), known)
+}
+
 // SetTree adopts a version. When it returns, this home's version may be announced to other homes, not earlier.
 func (a *Limiter) SetTree(ctx context.Context, t config.Tree) error {
 	shares, homes := NewShares(a.self, t), HomesOf(t)
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -231,7 +231,12 @@
 }
 
 func isNotIDRune(c rune) bool {
-	return !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_' || c == '.')
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9', c == '-', c == '_', c == '.':
+		return false
+	default:
+		return true
+	}
 }
 
 func randomHex(n int) string {
--- a/node/config/version.go
+++ b/node/config/version.go
@@ -325,6 +325,15 @@
 	return v.settled || (!v.trying.IsZero() && now.Sub(v.trying) >= settleTime)
 }
 
+// EvidenceAge returns the age of the newest evidence, zero where none is needed or there is none.
+func (v Version) EvidenceAge(now time.Time) time.Duration {
+	newest := laterOf(v.majority, v.confirmed)
+	if v.static || v.alone || newest.IsZero() {
+		return 0
+	}
+	return now.Sub(newest)
+}
+
 // MajorityHeard tells whether more than half of the homes, this node included if it is one, were heard within EvidenceAge.
 func (v Version) MajorityHeard(now time.Time) bool {
 	return v.static || v.alone || fresh(now, v.majority)
--- /dev/null
+++ b/node/daemon/control.go
@@ -0,0 +1,161 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"verbenapin.dev/node/account"
+	accountrpc "verbenapin.dev/node/account/rpc"
+	"verbenapin.dev/node/config"
+	configrpc "verbenapin.dev/node/config/rpc"
+	configpb "verbenapin.dev/node/config/rpc/pb"
+	"verbenapin.dev/node/instance"
+	"verbenapin.dev/node/instance/rpc"
+	"verbenapin.dev/node/instance/rpc/pb"
+	"verbenapin.dev/node/journal"
+	"verbenapin.dev/node/peer"
+)
+
+const (
+	// maxMessage bounds a control message; a part has at most 512 KB.
+	maxMessage = 1 << 20
+	// controlIdle closes a control connection that carries no messages.
+	controlIdle    = time.Minute
+	maxBackoff     = time.Second
+	connectTimeout = 500 * time.Millisecond
+)
+
+func dialOptions(i *peer.Identity) []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(credentials.NewTLS(i.ControlConfig("h2"))),
+		grpc.WithIdleTimeout(controlIdle),
+		grpc.WithConnectParams(connectParams()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithDisableServiceConfig(),
+	}
+}
+
+// newControl returns the gRPC server for heartbeats, versions and account shares.
+func (n *Node) newControl() *grpc.Server {
+	s := grpc.NewServer(
+		grpc.Creds(credentials.NewTLS(n.identity.ServerConfig("h2"))),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * controlIdle}),
+	)
+	pb.RegisterInstancesServer(s, &rpc.Server{Own: n.members.Own, Receive: n.members.Receive, Now: n.clock.Now})
+	configpb.RegisterConfigsServer(s, &configrpc.Server{Receive: n.store.Receive, Value: n.store.Value})
+	accountrpc.NewServer(n.limiter.Take).Register(s)
+	return s
+}
+
+// refused tells whether a node refused the connection, which a paused or unreachable one does not.
+func refused(err error) bool {
+	// gRPC reports a failed connection as text only.
+	return errors.Is(err, syscall.ECONNREFUSED) ||
+		(status.Code(err) == codes.Unavailable && containsRefused(err.Error()))
+}
+
+func (n *Node) memberSettings() instance.Settings {
+	s := instance.Settings{
+		Name: n.settings.Name, Boot: n.boot, Loop: n.loop, Clock: n.clock, Random: rand.IntN,
+		Refused:  refused,
+		Evidence: func(now time.Time) instance.Evidence { return n.store.Evidence(now) },
+		Failed:   n.failed,
+	}
+	if n.settings.List != nil {
+		s.List = instance.ListReader{URL: n.settings.List.String(), Client: n.platform}.Read
+		s.Exchange = func(ctx context.Context, addr string, own instance.Beat) (instance.Beat, error) {
+			return rpc.Client{Conn: n.pool.Conn, Now: n.clock.Now}.Exchange(ctx, addr, own)
+		}
+	}
+	return s
+}
+
+func (n *Node) newStore(files []config.File) (*config.Store, error) {
+	s := config.Settings{
+		Name: n.settings.Name, Boot: n.boot, Loop: n.loop, Clock: n.clock, Random: rand.IntN,
+		View: n.members.Snapshot,
+		Offer: func(ctx context.Context, addr, name string, m config.Manifest) (int64, error) {
+			return configrpc.Client{Conn: n.pool.Conn}.Offer(ctx, addr, name, m)
+		},
+		Fetch: func(ctx context.Context, addr string, d config.Digest) ([]byte, error) {
+			return configrpc.Client{Conn: n.pool.Conn}.Fetch(ctx, addr, d)
+		},
+		Failed: n.failed,
+	}
+	if files != nil {
+		return config.NewStatic(s, 1, files)
+	}
+	reader := config.ServiceReader{URL: n.settings.Config.String(), Client: n.platform}
+	s.Manifest, s.Part = reader.Manifest, reader.Part
+	return config.New(s), nil
+}
+
+// failed logs the failure of a control activity.
+func (n *Node) failed(what string, err error) {
+	n.journal.Warn("control activity failed", journal.Part(what), journal.Cause(err))
+}
+
+// onTree passes a new tree to the other slices; it runs on the control goroutine.
+func (n *Node) onTree(now time.Time, t config.Tree) {
+	n.limiter.OnTree(now, t)
+	n.limiter.OnKnown(now, n.known(now))
+	n.admission.SetOut(now, t.IsOut(n.settings.Domain))
+	n.journal.Info("configuration in force", journal.Version(t.Version()))
+}
+
+// onBeat takes what another node's heartbeat says of versions; it runs on the control goroutine.
+func (n *Node) onBeat(at time.Time, b instance.Beat) {
+	n.store.Beat(at, b)
+	n.limiter.OnKnown(at, n.known(at))
+}
+
+// known returns the version known of each home; zero stands for a home that was never heard.
+func (n *Node) known(now time.Time) map[string]int64 {
+	known := map[string]int64{}
+	for _, h := range n.store.Snapshot().Homes(now) {
+		known[h.Name] = h.Version
+	}
+	return known
+}
+
+// onView follows what the platform says of this node's own target; it runs on the control goroutine.
+func (n *Node) onView(now time.Time, v instance.View) {
+	row, ok := v.Row(n.settings.Name)
+	n.admission.SetLeavingNow(now, n.isLeaving() || (ok && row.State == instance.Leaving))
+}
+
+func (n *Node) mayMint(now time.Time) bool {
+	v := n.store.Snapshot()
+	return v.Verdict(now).Code == config.Serve && v.MajorityHeard(now)
+}
+
+// sendTake asks a home for tokens; this node's own share needs no message.
+func (n *Node) sendTake(ctx context.Context, home string, take account.Take) (account.Grant, error) {
+	if home == n.settings.Name {
+		return n.limiter.Take(ctx, take)
+	}
+	return accountrpc.Client{Conn: n.connTo}.Send(ctx, home, take)
+}
+
+// UnlistedError reports a home that is not in the instance list.
+type UnlistedError struct{ Name string }
+
+func (e UnlistedError) Error() string { return "daemon: instance " + e.Name + " is not listed" }
+
+func (n *Node) connTo(home string) (grpc.ClientConnInterface, error) {
+	row, ok := n.members.Snapshot().Row(home)
+	if !ok {
+		return nil, UnlistedError{Name: home}
+	}
+	return n.pool.Conn(row.Control)
+}
--- a/node/daemon/main.go
+++ b/node/daemon/main.go
@@ -16,7 +16,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err := run(ctx, args, os.Stdout, os.Stderr)
-	report(os.Stdout, os.Stderr, err)
+	printEnd(os.Stdout, os.Stderr, err)
 	return ExitCode(err)
 }
 
@@ -36,8 +36,8 @@
 	return n.Run(ctx)
 }
 
-// report prints what ended the node; help goes to the standard output.
-func report(stdout, stderr io.Writer, err error) {
+// printEnd prints what ended the node; help goes to the standard output.
+func printEnd(stdout, stderr io.Writer, err error) {
 	var help HelpError
 	switch {
 	case err == nil:
--- /dev/null
+++ b/node/daemon/state.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/instance"
+	"verbenapin.dev/node/operator"
+	"verbenapin.dev/node/operator/report"
+)
+
+// States of other instances in reports.
+const (
+	stateLive        = "live"
+	stateLeaving     = "leaving"
+	stateUnreachable = "unreachable"
+)
+
+// health checks that the control goroutine responds.
+func (n *Node) health(ctx context.Context) error {
+	return n.loop.Call(ctx, func(time.Time) {})
+}
+
+func (n *Node) ready() (bool, string) {
+	if n.isLeaving() {
+		return false, "the node is leaving"
+	}
+	v := n.store.Verdict()
+	return v.Code == config.Serve, v.Reason
+}
+
+func (n *Node) state(context.Context) (report.State, error) {
+	now, v, load := n.clock.Now(), n.store.Snapshot(), n.admission.Load()
+	ready, reason := n.ready()
+	if ready {
+		reason = ""
+	}
+	return report.State{
+		Name: n.settings.Name, Domain: n.settings.Domain, Service: n.settings.Service,
+		Ready: ready, Reason: reason,
+		Version: v.Number(), Digest: v.Digest().String(),
+		Verdict: string(v.Verdict(now).Code), Age: v.EvidenceAge(now).Milliseconds(),
+		Out: v.Tree().Fleet().Out, Home: v.IsHome(), Leaving: n.isLeaving(),
+		Load: report.Load{
+			Running: load.Running, Queued: load.Queued, Limit: load.Limit,
+			Service: float64(load.Service) / float64(time.Millisecond), Failing: load.Failing,
+			Probing: n.admission.Probing(),
+		},
+		Peers: n.peerStates(now),
+	}, nil
+}
+
+// peerStates returns the other instances as this node sees them.
+func (n *Node) peerStates(now time.Time) []report.Peer {
+	view := n.members.Snapshot()
+	var out []report.Peer
+	for _, status := range []instance.Status{instance.Present, instance.Going, instance.Quiet, instance.Crashed} {
+		for _, row := range view.Instances(now, status) {
+			if row.Name == n.settings.Name {
+				continue
+			}
+			out = append(out, report.Peer{
+				Name: row.Name, Domain: row.Domain, Service: row.Service, State: stateOf(status), Seen: seen(now, view, row.Name),
+			})
+		}
+	}
+	return out
+}
+
+func stateOf(s instance.Status) string {
+	switch s {
+	case instance.Present:
+		return stateLive
+	case instance.Going:
+		return stateLeaving
+	default:
+		return stateUnreachable
+	}
+}
+
+// seen returns the milliseconds since an instance was last heard, -1 if never.
+func seen(now time.Time, view instance.View, name string) int64 {
+	at := view.Heard(name)
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+func (n *Node) explain(ctx context.Context, q report.Query) ([]report.Fact, error) {
+	state, err := n.state(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return operator.Facts(n.store.Snapshot().Tree(), state, q), nil
+}
--- a/node/instance/view.go
+++ b/node/instance/view.go
@@ -69,6 +69,9 @@
 	listed map[string]bool
 	marks  map[string]mark
 	read   bool
+
+	// services holds the rows by service, since each request asks for one service.
+	services map[string][]Instance
 }
 
 // WithList returns v with a new list.
@@ -86,9 +89,16 @@
 		listed[row.Name] = true
 	}
 	v.rows, v.listed, v.read = rows, listed, true
+	v.services = map[string][]Instance{}
+	for _, row := range rows {
+		v.services[row.Service] = append(v.services[row.Service], row)
+	}
 	return v
 }
 
+// Service returns the known instances of a service in any order; the caller must not change the slice.
+func (v View) Service(name string) []Instance { return v.services[name] }
+
 // WithBeat returns v after a heartbeat that an instance sent itself.
 // A leaving mark belongs to one boot: a late heartbeat does not clear it, a restarted instance does.
 func (v View) WithBeat(at time.Time, b Beat) View {
@@ -156,6 +166,9 @@
 	return row, ok
 }
 
+// Heard returns when an instance last answered or sent a heartbeat, zero if never.
+func (v View) Heard(name string) time.Time { return v.marks[name].contact }
+
 // Status returns what the node concludes about an instance.
 func (v View) Status(now time.Time, name string) Status {
 	row, known := v.rows[name]
--- a/node/peer/identity.go
+++ b/node/peer/identity.go
@@ -73,6 +73,16 @@
 // ClientConfig returns the settings of connections to other nodes; the server's certificate must hold the
 // name that is dialled.
 func (i *Identity) ClientConfig(protocols ...string) *tls.Config {
+	return i.clientConfig(func(cs tls.ConnectionState) string { return cs.ServerName }, protocols)
+}
+
+// ControlConfig returns the settings of control connections, which are dialled by address: the server may be
+// any node of the fleet.
+func (i *Identity) ControlConfig(protocols ...string) *tls.Config {
+	return i.clientConfig(func(tls.ConnectionState) string { return "" }, protocols)
+}
+
+func (i *Identity) clientConfig(expected func(cs tls.ConnectionState) string, protocols []string) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		NextProtos: protocols,
@@ -84,7 +94,7 @@
 		VerifyConnection: func(cs tls.ConnectionState) error {
 			opts := x509.VerifyOptions{
 				Roots:         i.current.Load().roots,
-				DNSName:       cs.ServerName,
+				DNSName:       expected(cs),
 				Intermediates: x509.NewCertPool(),
 				KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
 			}
--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -28,6 +28,8 @@
 	probe   ProbeState
 	load    atomic.Pointer[Load]
 	probes  *clock.Subscription
+	begun   time.Time
+	probing atomic.Int64 // nanoseconds of the target's time that probes took
 }
 
 // NewAdmission returns the admission to the target beside this node. arrive decides on a new ticket, usually
@@ -44,6 +46,7 @@
 		gate: NewGate(1), slots: 1,
 		waiting: map[uint64]chan Verdict{},
 		probe:   NewProbeState(c.Now()),
+		begun:   c.Now(),
 	}
 	a.publish(c.Now())
 	a.probes = c.Subscribe(probeTick, func(time.Time) { a.tickProbe(budget, sendProbe) })
@@ -53,6 +56,11 @@
 // Load returns the current report of the gate.
 func (a *Admission) Load() Load { return *a.load.Load() }
 
+// Probing returns the share of the target's time that probes took since the start.
+func (a *Admission) Probing() float64 {
+	return float64(a.probing.Load()) / float64(max(a.clock.Now().Sub(a.begun), time.Second))
+}
+
 // Admit waits until the gate starts the ticket; the returned function must be called with the outcome.
 func (a *Admission) Admit(ctx context.Context, t Ticket, route config.Route) (func(Outcome), error) {
 	// The event must run to its end even if the caller leaves, because it may take a slot.
@@ -124,6 +132,12 @@
 	})
 }
 
+// SetLeavingNow is SetLeaving for the control goroutine.
+func (a *Admission) SetLeavingNow(now time.Time, leaving bool) {
+	a.gate = a.gate.WithLeaving(leaving)
+	a.settle(now, nil)
+}
+
 // SetOut marks the target's failure domain as taken out, or not; it runs on the control goroutine.
 func (a *Admission) SetOut(now time.Time, out bool) {
 	a.gate = a.gate.WithOut(now, out)
@@ -180,6 +194,7 @@
 		return
 	}
 	cost, err := send(ctx)
+	a.probing.Add(int64(cost))
 	_ = a.loop.Call(ctx, func(now time.Time) {
 		a.probe = a.probe.WithResult(cost)
 		if err != nil {
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return Reply{Load: s.load(), Reported: true}, err
 	}
-	res, err := s.run(c, finish)
+	res, err := s.run(c, finish) //nolint:bodyclose // the receiver of the Reply closes it
 	return Reply{Response: res, Load: s.load(), Reported: true}, err
 }
 
