Test the request path through two nodes

Cause: the path's hard cases were untested. Trailers are handed over when the body ends, because the race detector showed that the library writes them while the body is read ahead. A parent route may hold a host without a path.

--- a/node/config/format_test.go
+++ b/node/config/format_test.go
@@ -69,6 +69,16 @@
 	}
 }
 
+// TestSharedHost guards against a parent that cannot hold what its children share.
+func TestSharedHost(t *testing.T) {
+	text := "routes:\n  base: {host: h.example, service: s}\n  read: {parent: base, path: /read}\n"
+	tree, err := Parse(1, []File{{Name: "tree.yaml", Data: []byte(text)}})
+	require.NoError(t, err)
+	require.Len(t, tree.Routes(), 1)
+	_, ok := tree.Match("h.example", "/read")
+	require.True(t, ok)
+}
+
 // TestParseFiles guards against a tree that may not be split, and against names repeated across files.
 func TestParseFiles(t *testing.T) {
 	routes := File{Name: "routes.yaml", Data: []byte("routes:\n  one: {host: h.example, path: /, service: s}\n")}
--- a/node/config/resolve.go
+++ b/node/config/resolve.go
@@ -59,7 +59,11 @@
 		}
 		at := r.sections[Routes][name].at
 		if rt.Path == "" || rt.Service == "" {
-			r.failAt(at, "route %q has a host but no path or no service", name)
+			// A parent may hold only what its children share.
+			if !r.isParent(Routes, name) {
+				r.failAt(at, "route %q has a host but no path or no service", name)
+			}
+			continue
 		}
 		if old, ok := paths[rt.Host+rt.Path]; ok {
 			r.failAt(at, "routes %q and %q have the same host and path", old.Name, name)
@@ -87,6 +91,19 @@
 	return t
 }
 
+// isParent tells whether another entry inherits from the named one.
+func (r *reading) isParent(kind Kind, name string) bool {
+	for _, e := range r.sections[kind] {
+		if e.parent.node == nil {
+			continue
+		}
+		if parent, ok := scalar(e.parent.node); ok && parent == name {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *reading) checkAccount(name string, a Account, fields map[string]setting, known map[string]bool, keys map[Digest]string) {
 	own := r.sections[Accounts][name]
 	_, concrete := fields["rate"]
--- /dev/null
+++ b/node/daemon/fleet_test.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/instance"
+)
+
+// TestMain guards against goroutines that outlive the end of a node.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// platform stands for the configuration service and the instance list.
+type platform struct {
+	mu     sync.Mutex
+	values map[string][]byte
+	rows   []instance.Instance
+	down   bool
+}
+
+func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	data, ok := p.values[strings.TrimPrefix(r.URL.Path, "/v1/values/")]
+	if r.URL.Path == "/v1/instances" {
+		data, _ = json.Marshal(p.rows)
+		ok = true
+	}
+	switch {
+	case p.down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case !ok:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		etag := fmt.Sprintf("%q", config.DigestOf(string(data)).String())
+		w.Header().Set("Etag", etag)
+		if r.URL.Query().Get("etag") == etag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		_, _ = w.Write(data)
+	}
+}
+
+func (p *platform) publish(t *testing.T, version int64, tree string) {
+	t.Helper()
+	m, parts, err := config.Pack(version, []config.File{{Name: "tree.yaml", Data: []byte(tree)}})
+	require.NoError(t, err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for d, data := range parts {
+		p.values["part-"+d.String()] = data
+	}
+	p.values["manifest"] = m.Bytes()
+}
+
+// place is one instance of a test fleet.
+type place struct {
+	name, domain, service string
+	target                http.HandlerFunc
+}
+
+// running is a node under test with its target.
+type running struct {
+	*Node
+	target *httptest.Server
+	stop   context.CancelFunc
+	ended  chan error
+}
+
+func (r *running) url(path string) string { return "http://" + r.CallerAddress() + path }
+
+type testFleet struct {
+	platform *platform
+	nodes    map[string]*running
+}
+
+// startFleet runs a node beside each target until the test ends, and waits until all serve the tree.
+func startFleet(t *testing.T, tree string, places ...place) *testFleet {
+	t.Helper()
+	f := &testFleet{platform: &platform{values: map[string][]byte{}}, nodes: map[string]*running{}}
+	server := httptest.NewServer(f.platform)
+	t.Cleanup(server.Close)
+	f.platform.publish(t, 1, tree)
+	dir := t.TempDir()
+	names := make([]string, 0, len(places))
+	for _, p := range places {
+		names = append(names, p.name)
+	}
+	writeCertificates(t, dir, names)
+	for _, p := range places {
+		f.nodes[p.name] = startNode(t, dir, server.URL, p)
+	}
+	for _, p := range places {
+		n := f.nodes[p.name]
+		f.platform.rows = append(f.platform.rows, instance.Instance{
+			Name: p.name, Domain: p.domain, Service: p.service, State: instance.Live,
+			Peer: n.listeners.peer.Addr().String(), Control: n.listeners.control.Addr().String(), Caller: n.CallerAddress(),
+		})
+	}
+	for _, n := range f.nodes {
+		go func() { n.ended <- n.Run(n.context(t)) }()
+	}
+	for _, n := range f.nodes {
+		require.Eventually(t, func() bool { return n.serves(len(places)) }, 15*time.Second, 20*time.Millisecond, "node does not serve")
+	}
+	return f
+}
+
+// serves tells whether the node may serve and knows the whole list.
+func (r *running) serves(places int) bool {
+	return r.store.Verdict().Code == config.Serve && len(r.members.Snapshot().Instances(time.Now(), instance.Present)) == places
+}
+
+func (r *running) context(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	t.Cleanup(func() {
+		cancel()
+		<-r.ended
+	})
+	return ctx
+}
+
+func startNode(t *testing.T, dir, platformURL string, p place) *running {
+	t.Helper()
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != probePath {
+			p.target(w, r)
+		}
+	}))
+	t.Cleanup(target.Close)
+	s, err := ParseSettings([]string{
+		"--name", p.name, "--domain", p.domain, "--service", p.service, "--target", target.URL,
+		"--caller", "127.0.0.1:0", "--peer", "127.0.0.1:0", "--control", "127.0.0.1:0", "--admin", "127.0.0.1:0",
+		"--config", platformURL, "--list", platformURL, "--log", "error", "--grace", "10s",
+		"--cert", filepath.Join(dir, "cert.pem"), "--key", filepath.Join(dir, "key.pem"), "--ca", filepath.Join(dir, "cert.pem"),
+	})
+	require.NoError(t, err)
+	n, err := New(s, PolicyFromEnv(func(string) string { return "" }), io.Discard)
+	require.NoError(t, err)
+	return &running{Node: n, target: target, ended: make(chan error, 2)}
+}
+
+// writeCertificates writes one self-signed certificate that holds all names.
+func writeCertificates(t *testing.T, dir string, names []string) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, DNSNames: names,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(t, err)
+	write := func(name, kind string, data []byte) {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
+	}
+	write("cert.pem", "CERTIFICATE", der)
+	write("key.pem", "PRIVATE KEY", private)
+}
+
+// newCaller returns a client that neither follows redirects nor keeps connections after the test.
+func newCaller(t *testing.T) *http.Client {
+	t.Helper()
+	tr := &http.Transport{DisableCompression: true}
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr, Timeout: 20 * time.Second}
+}
+
+// reserve returns an address on which nothing listens.
+func reserve(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
--- a/node/target/buffer.go
+++ b/node/target/buffer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 )
 
@@ -17,6 +18,28 @@
 
 var chunks = sync.Pool{New: func() any { b := make([]byte, chunkSize); return &b }}
 
+// readAhead returns the response with a body that is read ahead; its trailers are set when the body ends.
+func readAhead(res *http.Response, cancel context.CancelFunc, done func(error)) *http.Response {
+	out := *res
+	out.Trailer = res.Trailer.Clone() // the library fills in the original while the body is read ahead
+	out.Body = &trailedBody{buffered: newBuffered(res.Body, cancel, done), from: res, to: &out}
+	return &out
+}
+
+// trailedBody passes the trailers on once they have arrived.
+type trailedBody struct {
+	*buffered
+	from, to *http.Response
+}
+
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.buffered.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.to.Trailer = b.from.Trailer
+	}
+	return n, err
+}
+
 type chunk struct {
 	buf *[]byte
 	n   int
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -89,15 +89,14 @@
 	}
 	answer.StripInternal(res.Header)
 	kind := kindOf(res.StatusCode)
-	res.Body = newBuffered(res.Body, func() { cancel(nil) }, func(err error) {
+	return readAhead(res, func() { cancel(nil) }, func(err error) {
 		outcome := Outcome{Kind: kind, Latency: took}
 		if err != nil && c.Request.Context().Err() == nil {
 			outcome.Kind = Lost
 		}
 		finish(outcome)
 		cancel(nil)
-	})
-	return res, nil
+	}), nil
 }
 
 // failed reports an attempt without response to the gate and returns the refusal.
