--- a/node/account/stock.go
+++ b/node/account/stock.go
@@ -49,6 +49,13 @@
 	until time.Duration
 }
 
+// debt is what a home believes the node to hold, as of the last Take.
+type debt struct {
+	home   string
+	tokens int
+	sent   time.Duration
+}
+
 // Token is one spent token: until is the end of its use and of its refund, both on this node's clock.
 type Token struct {
 	home  string
@@ -66,6 +73,7 @@
 	slots   []slot
 	asks    []asked
 	empty   []pauseAt
+	debts   []debt
 	demand  float64 // spends within demandSpan, decayed exponentially
 	demAt   time.Duration
 	spentAt time.Duration
@@ -117,7 +125,7 @@
 
 // IsIdle tells whether s holds nothing worth keeping.
 func (s Stock) IsIdle(now time.Duration) bool {
-	return len(s.lots) == 0 && len(s.slots) == 0 && len(s.asks) == 0 && len(s.empty) == 0 && now-s.spentAt > 4*demandSpan
+	return len(s.lots) == 0 && len(s.slots) == 0 && len(s.asks) == 0 && len(s.empty) == 0 && len(s.debts) == 0 && now-s.spentAt > 4*demandSpan
 }
 
 // WithoutExpired returns s without tokens and notes whose time has passed.
@@ -125,6 +133,10 @@
 	lotGone := func(l lot) bool { return l.tokens == 0 || now >= l.until }
 	slotGone := func(p slot) bool { return p.tokens == 0 || now >= p.until }
 	emptyGone := func(p pauseAt) bool { return now >= p.until }
+	debtGone := func(d debt) bool { return now >= d.sent+homeTerm }
+	if slices.ContainsFunc(s.debts, debtGone) {
+		s.debts = slices.DeleteFunc(slices.Clone(s.debts), debtGone)
+	}
 	if slices.ContainsFunc(s.lots, lotGone) {
 		s.lots = slices.DeleteFunc(slices.Clone(s.lots), lotGone)
 	}
@@ -262,8 +274,15 @@
 	return "", 0
 }
 
-// Return returns a home to which tokens should go back: unused ones, or ones that expire soon.
+// Return returns a home to which a Take is due without need of tokens, and the tokens to give back:
+// unused ones, or ones that expire soon, or none if the home only has to learn that tokens were spent,
+// since it mints nothing while it believes its whole burst to be on loan.
 func (s Stock) Return(now time.Duration) (home string, back int) {
+	for _, d := range s.debts {
+		if now-d.sent >= Window && !s.isAsked(d.home) && s.Hold(now, d.home) < d.tokens {
+			return d.home, s.expiring(now, d.home)
+		}
+	}
 	keep := 2*s.ahead(now) + 1
 	if now-s.spentAt >= Window {
 		keep = 0
@@ -311,6 +330,7 @@
 	if i := slices.Index(s.homes, home); i >= 0 && want > 0 {
 		s.next = (i + 1) % len(s.homes)
 	}
+	s = s.withDebt(debt{home: home, tokens: s.Hold(now, home), sent: now})
 	return s, TakeRow{Hold: s.Hold(now, home), Back: returned, Want: want, Need: min(need, want)}
 }
 
@@ -325,6 +345,7 @@
 	s.asks = slices.Delete(slices.Clone(s.asks), i, i+1)
 	if tokens := min(row.Tokens, a.want); tokens > 0 && now < a.sent+Term {
 		s = s.withLot(lot{home: home, tokens: tokens, until: a.sent + Term})
+		s = s.withDebt(debt{home: home, tokens: s.Hold(now, home), sent: a.sent})
 	}
 	if row.Tokens < a.want {
 		s = s.withEmpty(home, now+max(row.After, time.Millisecond))
@@ -342,6 +363,14 @@
 	return s.withEmpty(home, now+silence)
 }
 
+func (s Stock) withDebt(d debt) Stock {
+	s.debts = slices.DeleteFunc(slices.Clone(s.debts), func(o debt) bool { return o.home == d.home })
+	if d.tokens > 0 {
+		s.debts = append(s.debts, d)
+	}
+	return s
+}
+
 func (s Stock) withEmpty(home string, until time.Duration) Stock {
 	s.empty = slices.DeleteFunc(slices.Clone(s.empty), func(p pauseAt) bool { return p.home == home })
 	s.empty = append(s.empty, pauseAt{home: home, until: until})
