Test the account ledger, and tighten tables that missed broken code

Cause: trials that broke the code one rule at a time passed for the cap on returned tokens, the number of a Grant, the refund of a request that left, and the waits of the ledger. Change: TestLedger covers waits, expiry, pauses and versions; the tables of Home and Stock separate the cases.

--- a/node/account/control_test.go
+++ b/node/account/control_test.go
@@ -125,8 +125,25 @@
 		_, err := p.node.Spend(context.Background(), fleetAccount)
 		require.NoError(t, err)
 	}
+	waiting := 0
 	require.NoError(t, p.node.loop.Call(context.Background(), func(time.Time) {
-		require.Empty(t, p.node.waiters)
-		require.Empty(t, p.node.book.waiting)
+		waiting = len(p.node.waiters) + len(p.node.book.waiting)
 	}))
+	require.Zero(t, waiting)
+}
+
+// TestLimiterAbandon guards against a token that is lost when it arrives while its caller gives up.
+func TestLimiterAbandon(t *testing.T) {
+	p := newLimiterPair(t, nil)
+	defer p.close()
+	pass, err := p.node.Spend(context.Background(), fleetAccount)
+	require.NoError(t, err)
+	decided := make(chan Decision, 1)
+	decided <- Decision{Verdict: Admit, Token: pass.token}
+	p.node.abandon(fleetAccount, decided)
+	tokens := 0
+	require.NoError(t, p.node.loop.Call(context.Background(), func(now time.Time) {
+		tokens = p.node.book.stocks[fleetAccount].Tokens(p.node.since(now))
+	}))
+	require.Equal(t, 1, tokens)
 }
--- a/node/account/decision_test.go
+++ b/node/account/decision_test.go
@@ -14,8 +14,10 @@
 func TestHomeTake(t *testing.T) {
 	limit := Limit{Rate: 10, Burst: 20}
 	full := NewHome(0).WithLimit(limit).WithMint(time.Minute)
+	require.InDelta(t, 20, full.Level(), 1e-9)
 	lent := full
-	lent.level, lent.lent, lent.loans = 10, 10, 1
+	lent.at = time.Minute
+	lent.level, lent.lent, lent.loans = 5, 10, 1
 	loan := Loan{tokens: 10, seq: 5, expires: time.Minute + homeTerm}
 	cases := map[string]struct {
 		home   Home
@@ -30,12 +32,12 @@
 		"lends half ahead of need":       {home: full, seq: 1, row: TakeRow{Want: 15}, tokens: 10, level: 10, lent: 10},
 		"lends all for waiting requests": {home: full, seq: 1, row: TakeRow{Want: 25, Need: 25}, tokens: 20, level: 0, lent: 20},
 		"lends nothing while idle":       {home: full, seq: 1, row: TakeRow{Want: 5, Need: 5}, idle: true, level: 20, lent: 0},
-		"duplicate changes nothing":      {home: lent, loan: loan, seq: 5, row: TakeRow{Back: 10, Want: 5}, level: 10, lent: 10},
-		"spent tokens are forgotten":     {home: lent, loan: loan, seq: 6, row: TakeRow{Hold: 4}, level: 10, lent: 4},
-		"returned tokens are credited":   {home: lent, loan: loan, seq: 6, row: TakeRow{Hold: 4, Back: 6}, level: 16, lent: 4},
-		"unknown tokens are not":         {home: lent, loan: Loan{}, seq: 6, row: TakeRow{Hold: 4, Back: 6}, level: 10, lent: 10},
-		"returned beyond the loan":       {home: lent, loan: loan, seq: 6, row: TakeRow{Hold: 9, Back: 9}, level: 11, lent: 9},
-		"negative amounts count as none": {home: lent, loan: loan, seq: 6, row: TakeRow{Hold: -4, Back: -6, Want: -1}, level: 10, lent: 0},
+		"duplicate changes nothing":      {home: lent, loan: loan, seq: 5, row: TakeRow{Back: 10, Want: 5}, level: 5, lent: 10},
+		"spent tokens are forgotten":     {home: lent, loan: loan, seq: 6, row: TakeRow{Hold: 4}, level: 5, lent: 4},
+		"returned tokens are credited":   {home: lent, loan: loan, seq: 6, row: TakeRow{Hold: 4, Back: 6}, level: 11, lent: 4},
+		"unknown tokens are not":         {home: lent, loan: Loan{}, seq: 6, row: TakeRow{Hold: 4, Back: 6}, level: 5, lent: 10},
+		"returned beyond the loan":       {home: lent, loan: loan, seq: 6, row: TakeRow{Hold: 9, Back: 9}, level: 6, lent: 9},
+		"negative amounts count as none": {home: lent, loan: loan, seq: 6, row: TakeRow{Hold: -4, Back: -6, Want: -1}, level: 5, lent: 0},
 		"fractions are not lent":         {home: NewHome(time.Minute - 90*time.Millisecond).WithLimit(limit), seq: 1, row: TakeRow{Want: 1, Need: 1}, level: 0.9, lent: 0},
 	}
 	for name, tc := range cases {
@@ -89,6 +91,9 @@
 	empty := asked.WithGrant(time.Millisecond, "a", 1, GrantRow{After: time.Second})
 	both, _ := empty.WithTake(time.Millisecond, "b", 2, 0, 2, 2)
 	both = both.WithFailure(2*time.Millisecond, "b", 2)
+	newer, _ := s.WithTake(0, "a", 1, 0, 2, 2)
+	newer, _ = newer.WithFailure(sendTimeout, "a", 1).WithTake(2*time.Second, "a", 2, 0, 2, 2)
+	newer = newer.WithGrant(2*time.Second, "a", 1, GrantRow{Tokens: 2})
 	late, _ := s.WithTake(0, "a", 1, 0, 2, 2)
 	late = late.WithFailure(sendTimeout, "a", 1).WithGrant(sendTimeout, "a", 1, GrantRow{Tokens: 2})
 	cases := map[string]struct {
@@ -107,6 +112,7 @@
 		"all are empty":               {stock: both, at: 3 * time.Millisecond, waiting: 2, home: ""},
 		"a home has tokens again":     {stock: both, at: time.Second + silence, waiting: 2, home: "a", want: 2},
 		"a late grant is not counted": {stock: late, at: sendTimeout + silence, waiting: 2, home: "b", want: 2},
+		"nor while a newer one waits": {stock: newer, at: 2*time.Second + patience, waiting: 2, home: "b", want: 2},
 		"no homes":                    {stock: NewStock(nil, 3), waiting: 2, home: ""},
 	}
 	for name, tc := range cases {
@@ -174,3 +180,104 @@
 		}
 	})
 }
+
+// TestLedger guards against tokens minted before earlier loans have expired, and against loans that block a share forever.
+func TestLedger(t *testing.T) {
+	limit := Limit{Rate: 10, Burst: 10}
+	homes := []string{"a", "b"}
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	shares := func(version int64, limit Limit) Shares {
+		return NewShares("a", fleetTree(version, homes, nil, limit))
+	}
+	known := func(version int64) map[string]int64 { return map[string]int64{"b": version} }
+	// run ticks up to a time.
+	run := func(l *Ledger, from, to time.Duration) {
+		for now := from; now <= to; now += ms(20) {
+			l.Allow(now, true)
+			l.Tick(now)
+		}
+	}
+	take := func(l *Ledger, now time.Duration, session, seq uint64, want int) int {
+		l.Allow(now, true)
+		rows := []TakeRow{{Account: fleetAccount, Want: want, Need: want}}
+		return l.Take(now, Take{Session: session, Seq: seq, Rows: rows}).Rows[0].Tokens
+	}
+	heard := func(start time.Duration) *Ledger {
+		l := NewLedger("a", start)
+		l.SetShares(start, shares(1, limit))
+		l.SetKnown(start, known(1))
+		return l
+	}
+	cases := map[string]struct {
+		ledger func() *Ledger
+		want   int
+	}{
+		"before the loans of an earlier boot expired": {want: 0, ledger: func() *Ledger {
+			l := heard(ms(8000))
+			run(l, ms(8000), ms(9980))
+			return l
+		}},
+		"afterwards": {want: 5, ledger: func() *Ledger {
+			l := heard(0)
+			run(l, 0, ms(9980))
+			return l
+		}},
+		"a home is silent": {want: 0, ledger: func() *Ledger {
+			l := NewLedger("a", ms(3000))
+			l.SetShares(ms(3000), shares(1, limit))
+			run(l, ms(3000), ms(9980))
+			return l
+		}},
+		"a home holds a newer version": {want: 0, ledger: func() *Ledger {
+			l := NewLedger("a", 0)
+			l.SetShares(0, shares(1, limit))
+			l.SetKnown(0, known(2))
+			run(l, 0, ms(9980))
+			return l
+		}},
+		"a loan has not expired": {want: 2, ledger: func() *Ledger {
+			l := heard(0)
+			run(l, 0, ms(8000))
+			require.Equal(t, 3, take(l, ms(8000), 9, 1, 3))
+			run(l, ms(8000), ms(9980))
+			return l
+		}},
+		"a loan has expired": {want: 5, ledger: func() *Ledger {
+			l := heard(0)
+			run(l, 0, ms(7000))
+			require.Equal(t, 5, take(l, ms(7000), 9, 1, 5))
+			run(l, ms(7000), ms(9980))
+			return l
+		}},
+		"a loan was confirmed since": {want: 0, ledger: func() *Ledger {
+			l := heard(0)
+			run(l, 0, ms(7000))
+			require.Equal(t, 5, take(l, ms(7000), 9, 1, 5))
+			run(l, ms(7000), ms(8500))
+			l.Take(ms(8500), Take{Session: 9, Seq: 2, Rows: []TakeRow{{Account: fleetAccount, Hold: 5}}})
+			run(l, ms(8500), ms(9980))
+			return l
+		}},
+		"the process was paused": {want: 0, ledger: func() *Ledger {
+			l := heard(0)
+			run(l, 0, ms(4000))
+			require.Equal(t, 5, take(l, ms(4000), 9, 1, 5))
+			return l
+		}},
+		"another home is back at a lower version": {want: 2, ledger: func() *Ledger {
+			l := NewLedger("a", 0)
+			l.SetShares(0, shares(1, Limit{Rate: 10, Burst: 4}))
+			l.SetShares(0, shares(2, limit))
+			l.SetKnown(0, known(2))
+			run(l, 0, ms(9000))
+			l.SetKnown(ms(9000), known(1))
+			run(l, ms(9000), ms(9980))
+			return l
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.want, take(tc.ledger(), 10*time.Second, 2, 2, 100))
+		})
+	}
+}
