Take version zero of a home as not heard

Cause: the daemon passes zero for a home that was never heard; the ledger took it as the lowest version, whose shares are unknown, and never lent a token while one home was down. Change: SetKnown ignores zero, so such a home counts as silent, with the wait of 7.14 s. Conclusion: TestLedger fails without the change.

--- a/node/account/decision_test.go
+++ b/node/account/decision_test.go
@@ -228,6 +228,20 @@
 			run(l, ms(3000), ms(9980))
 			return l
 		}},
+		"a home was never heard, for long": {want: 5, ledger: func() *Ledger {
+			l := NewLedger("a", 0)
+			l.SetShares(0, shares(1, limit))
+			l.SetKnown(0, known(0))
+			run(l, 0, ms(9980))
+			return l
+		}},
+		"a home was never heard, for 7 s": {want: 0, ledger: func() *Ledger {
+			l := NewLedger("a", ms(3000))
+			l.SetShares(ms(3000), shares(1, limit))
+			l.SetKnown(ms(3000), known(0))
+			run(l, ms(3000), ms(9980))
+			return l
+		}},
 		"a home holds a newer version": {want: 0, ledger: func() *Ledger {
 			l := NewLedger("a", 0)
 			l.SetShares(0, shares(1, limit))
--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -97,9 +97,10 @@
 }
 
 // SetKnown adopts the versions known of other homes; a new boot of a home may lower its version.
+// Zero stands for a home that was not heard, or holds no version and so mints nothing.
 func (l *Ledger) SetKnown(now time.Duration, known map[string]int64) {
 	for name, version := range known {
-		if name != l.self {
+		if name != l.self && version > 0 {
 			l.known[name] = version
 		}
 	}
