--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -97,9 +97,10 @@
 }
 
 // SetKnown adopts the versions known of other homes; a new boot of a home may lower its version.
+// Zero stands for a home that was not heard, or holds no version and so mints nothing.
 func (l *Ledger) SetKnown(now time.Duration, known map[string]int64) {
 	for name, version := range known {
-		if name != l.self {
+		if name != l.self && version > 0 {
 			l.known[name] = version
 		}
 	}
@@ -168,7 +169,7 @@
 // itself included, within Evidence and with versions not above its own. Time without permission mints nothing;
 // neither does a gap between calls longer than Evidence, which is a pause of the process.
 func (l *Ledger) Allow(now time.Duration, mint bool) {
-	if !mint || !l.mint || now-l.allowed > Evidence {
+	if mint && (!l.mint || now-l.allowed > Evidence) {
 		for name, h := range l.homes {
 			l.homes[name] = h.WithIdle(now)
 		}
