--- a/node/instance/members.go
+++ b/node/instance/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,12 +14,10 @@
 // Times and bounds of heartbeats.
 const (
 	// beatEvery spreads the three peers of each second, because evenly spread exchanges reach the last node sooner.
-	beatEvery     = time.Second / 3
-	beatTimeout   = time.Second
-	maxBeats      = 4 // under way at once
-	listWait      = 30 * time.Second
-	neighbours    = 8 // peers with a connection, so that 1,200 nodes need no 1,200 connections each
-	neighbourTime = 10 * time.Second
+	beatEvery   = time.Second / 3
+	beatTimeout = time.Second
+	maxBeats    = 4 // under way at once
+	listWait    = 30 * time.Second
 )
 
 // Settings are what Members needs from the rest of the node.
@@ -58,8 +55,7 @@
 	etag    string
 	pace    *watch.Pace
 	beats   int
-	near    []string
-	renewed time.Time
+	near    Near
 	onView  []func(now time.Time, v View)
 	onBeat  []func(at time.Time, b Beat)
 }
@@ -161,34 +157,15 @@
 	if m.beats >= maxBeats {
 		return
 	}
-	if peer, ok := m.next(now); ok {
+	near, peer, ok := m.near.WithNext(now, m.Snapshot(), m.s.Name, m.s.Random)
+	m.near = near
+	if ok {
 		m.beats++
 		own := m.own(now)
 		m.spawn(func() { m.exchange(peer, own) })
 	}
 }
 
-// next returns a random neighbour; the oldest neighbour is replaced from time to time, so that all nodes mix.
-func (m *Members) next(now time.Time) (Instance, bool) {
-	v := m.Snapshot()
-	m.near = slices.DeleteFunc(m.near, func(name string) bool { return v.Status(now, name) != Present })
-	if len(m.near) >= neighbours && now.Sub(m.renewed) >= neighbourTime {
-		m.near = m.near[1:]
-		m.renewed = now
-	}
-	if len(m.near) < neighbours {
-		for _, i := range v.Pick(now, neighbours+1, m.s.Name, m.s.Random) {
-			if len(m.near) < neighbours && !slices.Contains(m.near, i.Name) {
-				m.near = append(m.near, i.Name)
-			}
-		}
-	}
-	if len(m.near) == 0 {
-		return Instance{}, false
-	}
-	return v.Row(m.near[m.s.Random(len(m.near))])
-}
-
 func (m *Members) exchange(peer Instance, own Beat) {
 	ctx, cancel := context.WithTimeout(m.ctx, beatTimeout)
 	defer cancel()
