--- /dev/null
+++ b/node/config/store_test.go
@@ -0,0 +1,286 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/clock"
+	"verbenapin.dev/node/instance"
+	"verbenapin.dev/node/loop"
+)
+
+// service is a configuration service that can be down and counts the calls that wait.
+type service struct {
+	mu       sync.Mutex
+	manifest Manifest
+	parts    map[Digest][]byte
+	down     bool
+	calls    int
+}
+
+func (s *service) set(m Manifest, parts map[Digest][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.manifest, s.parts = m, parts
+}
+
+func (s *service) read(context.Context, string, time.Duration) (Manifest, string, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down || s.manifest.Version == 0 {
+		return Manifest{}, "", false, errors.New("service is down")
+	}
+	return s.manifest, s.manifest.Digest().String(), true, nil
+}
+
+func (s *service) part(_ context.Context, d Digest) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.parts[d]
+	if !ok {
+		return nil, errors.New("no part")
+	}
+	return data, nil
+}
+
+// group is a few stores in one process, connected by function calls.
+type group struct {
+	clock   *clock.Manual
+	service *service
+	stores  map[string]*Store
+	loops   map[string]*loop.Loop
+	changes map[string]*atomic.Int64
+	failed  sync.Map
+}
+
+func newGroup(t *testing.T, names ...string) *group {
+	g := &group{
+		clock: clock.NewManual(start), service: &service{},
+		stores: map[string]*Store{}, loops: map[string]*loop.Loop{}, changes: map[string]*atomic.Int64{},
+	}
+	var list []instance.Instance
+	for _, n := range names {
+		list = append(list, instance.Instance{Name: n, Control: n, State: instance.Live})
+	}
+	view := instance.View{}.WithList(start, list)
+	for _, n := range names {
+		l := loop.New(g.clock.Now)
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			_ = l.Serve(context.Background())
+		}()
+		c := New(Settings{
+			Name: n, Boot: 1, Loop: l, Clock: g.clock.Clock(),
+			Random:   func(int) int { return 0 },
+			View:     func() instance.View { return view },
+			Manifest: g.service.read,
+			Part:     g.service.part,
+			Offer: func(ctx context.Context, addr, name string, m Manifest) (int64, error) {
+				version, _, err := g.stores[addr].Receive(ctx, name, m)
+				return version, err
+			},
+			Fetch: func(ctx context.Context, addr string, d Digest) ([]byte, error) {
+				data, ok, err := g.stores[addr].Value(ctx, d)
+				if err == nil && !ok {
+					err = errors.New("no value")
+				}
+				return data, err
+			},
+			Failed: func(what string, err error) { g.failed.Store(what, err) },
+		})
+		changes := &atomic.Int64{}
+		c.OnChange(func(_ time.Time, tree Tree) { changes.Store(tree.Version()) })
+		g.stores[n], g.loops[n], g.changes[n] = c, l, changes
+		t.Cleanup(func() {
+			l.Close()
+			<-served
+		})
+	}
+	for _, c := range g.stores {
+		c.Start()
+		t.Cleanup(c.Close)
+	}
+	return g
+}
+
+// until advances the clock until the condition holds.
+func (g *group) until(t *testing.T, condition func() bool) {
+	require.Eventually(t, func() bool {
+		g.clock.Advance(100 * time.Millisecond)
+		return condition()
+	}, 20*time.Second, time.Millisecond)
+}
+
+func (g *group) all(version int64) func() bool {
+	return func() bool {
+		for n, c := range g.stores {
+			if c.Snapshot().Number() != version || g.changes[n].Load() != version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestStore guards against a change that does not reach all nodes, is applied in part, or is served without evidence.
+func TestStore(t *testing.T) {
+	g := newGroup(t, "a", "b", "c", "d")
+	_, err := g.stores["a"].Current()
+	var refused answer.Refusal
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, answer.Empty, refused.Code)
+
+	m1, parts1, _ := packed(t, 1, "homes: [a]", "")
+	g.service.set(m1, parts1)
+	g.until(t, g.all(1))
+	tree, err := g.stores["a"].Current()
+	require.NoError(t, err)
+	require.Equal(t, int64(1), tree.Version())
+
+	// Without heartbeats and service, the other nodes stop; the only home goes on.
+	g.service.mu.Lock()
+	g.service.down = true
+	g.service.mu.Unlock()
+	g.until(t, func() bool {
+		_, err := g.stores["d"].Current()
+		return errors.As(err, &refused) && refused.Code == answer.Stale
+	})
+	_, err = g.stores["a"].Current()
+	require.NoError(t, err)
+
+	// A manifest without its parts changes nothing; once the parts are there, it does.
+	m2, parts2, _ := packed(t, 2, "homes: [a]", "two")
+	g.service.mu.Lock()
+	g.service.down, g.service.manifest = false, m2
+	g.service.mu.Unlock()
+	g.until(t, func() bool {
+		_, ok := g.failed.Load("fetching a version")
+		return ok
+	})
+	require.True(t, g.all(1)())
+	g.service.set(m2, parts2)
+	g.until(t, g.all(2))
+
+	// A manifest of the same number is reported and not adopted.
+	other, _, _ := packed(t, 2, "homes: [a]", "other")
+	version, digest, err := g.stores["b"].Receive(context.Background(), "c", other)
+	require.NoError(t, err)
+	require.Equal(t, int64(2), version)
+	require.Equal(t, m2.Digest(), digest)
+	failure, ok := g.failed.Load("offer")
+	require.True(t, ok)
+	require.ErrorAs(t, failure.(error), &ConflictError{})
+}
+
+// TestBeat guards against a version that only heartbeats tell of and that is never fetched.
+func TestBeat(t *testing.T) {
+	g := newGroup(t, "a", "b")
+	m1, parts1, _ := packed(t, 1, "homes: [a]", "")
+	g.service.set(m1, parts1)
+	g.until(t, g.all(1))
+	m2, parts2, tree2 := packed(t, 2, "homes: [a]", "two")
+	ctx := context.Background()
+	require.NoError(t, g.loops["a"].Call(ctx, func(time.Time) {
+		v := g.stores["a"].Snapshot().WithTree(m2, tree2)
+		g.stores["a"].version.Store(&v)
+		g.stores["a"].parts = parts2
+	}))
+	require.NoError(t, g.loops["b"].Call(ctx, func(now time.Time) {
+		g.stores["b"].Beat(now, instance.Beat{Name: "a", Boot: 1, Evidence: g.stores["a"].Evidence(now)})
+	}))
+	require.Eventually(t, func() bool { return g.changes["b"].Load() == 2 }, 20*time.Second, time.Millisecond)
+	_, err := g.stores["b"].Current()
+	require.NoError(t, err)
+}
+
+// TestStatic guards against a single node that needs peers or a service.
+func TestStatic(t *testing.T) {
+	l := loop.New(time.Now)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = l.Serve(context.Background())
+	}()
+	c, err := NewStatic(Settings{Name: "solo", Loop: l, Clock: clock.New(), Random: func(int) int { return 0 }}, 1, []File{sampleFile()})
+	require.NoError(t, err)
+	changed := make(chan int64, 1)
+	c.OnChange(func(_ time.Time, tree Tree) { changed <- tree.Version() })
+	c.Start()
+	require.Equal(t, int64(1), <-changed)
+	_, err = c.Current()
+	require.NoError(t, err)
+	require.Len(t, c.Homes(), 1)
+	require.Equal(t, "solo", c.Homes()[0].Name)
+	require.True(t, c.Snapshot().MajorityHeard(time.Now()))
+	c.Close()
+	l.Close()
+	<-served
+}
+
+// TestServiceReader guards against values that are too large, partial or taken for a change, and against failures that look like answers.
+func TestServiceReader(t *testing.T) {
+	m, parts, _ := packed(t, 1, "homes: [a]", "")
+	d := m.Digests()[0]
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		etag    string
+		changed bool
+		want    string
+	}{
+		"first":       {handler: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Etag", `"1"`); _, _ = w.Write(m.Bytes()) }, changed: true},
+		"unchanged":   {handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotModified) }, etag: `"1"`},
+		"same etag":   {handler: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Etag", `"1"`); _, _ = w.Write(m.Bytes()) }, etag: `"1"`},
+		"changed":     {handler: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Etag", `"2"`); _, _ = w.Write(m.Bytes()) }, etag: `"1"`, changed: true},
+		"absent":      {handler: http.NotFound, want: "no value"},
+		"broken":      {handler: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, want: "502"},
+		"too large":   {handler: func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, strings.Repeat(" ", MaxManifest+1)) }, want: "larger than"},
+		"no manifest": {handler: func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "<html>") }, want: "reading a manifest"},
+		"cut off early": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "99")
+			_, _ = w.Write(m.Bytes()[:9])
+		}, want: "reading a value"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(tc.handler)
+			defer server.Close()
+			r := ServiceReader{URL: server.URL, Client: server.Client()}
+			got, _, changed, err := r.Manifest(context.Background(), tc.etag, time.Second)
+			if tc.want != "" {
+				require.ErrorContains(t, err, tc.want)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tc.changed, changed)
+			if changed {
+				require.Equal(t, m.Digest(), got.Digest())
+			}
+		})
+	}
+	var asked string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = r.URL.RequestURI()
+		_, _ = w.Write(parts[d])
+	}))
+	defer server.Close()
+	r := ServiceReader{URL: server.URL, Client: server.Client()}
+	data, err := r.Part(context.Background(), d)
+	require.NoError(t, err)
+	require.Equal(t, parts[d], data)
+	require.Equal(t, "/v1/values/part-"+d.String(), asked)
+	_, _, _, _ = r.Manifest(context.Background(), `"1"`, time.Second)
+	require.Equal(t, "/v1/values/manifest?etag=%221%22&wait=1s", asked)
+}
