--- a/ctl/command/declare.go
+++ b/ctl/command/declare.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(c.std.Out, "no faults: %d routes, %d accounts, %d homes\n", len(t.Routes()), len(t.Accounts()), len(t.Fleet().Homes))
+	_, err = fmt.Fprintf(c.std.Out, "no faults; routes %d, accounts %d, homes %d\n", len(t.Routes()), len(t.Accounts()), len(t.Fleet().Homes))
 	return err
 }
 
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(c.std.Out, "version %d, manifest sha256:%s, %d parts\n", m.Version, m.Digest(), len(m.Digests()))
+	_, err = fmt.Fprintf(c.std.Out, "version %d, manifest sha256:%s, parts %d\n", m.Version, m.Digest(), len(m.Digests()))
 	return err
 }
 
--- a/node/operator/server.go
+++ b/node/operator/server.go
@@ -138,6 +138,9 @@
 		write(w, http.StatusServiceUnavailable, status{Reason: err.Error()})
 		return
 	}
+	// Clients in other languages expect lists, also empty ones.
+	state.Out = append([]string{}, state.Out...)
+	state.Peers = append([]report.Peer{}, state.Peers...)
 	write(w, http.StatusOK, state)
 }
 
--- a/node/operator/server_test.go
+++ b/node/operator/server_test.go
@@ -58,7 +58,7 @@
 		"not healthy":     {seams: broken, path: "/health", code: 503, want: `{"ok":false,"reason":"loop: closed"}`},
 		"ready":           {seams: working, path: "/ready", code: 200, want: `{"ok":true}`},
 		"not ready":       {seams: broken, path: "/ready", code: 503, want: `{"ok":false,"reason":"no configuration"}`},
-		"state":           {seams: working, path: "/state", code: 200, want: `"name":"a1"`},
+		"state":           {seams: working, path: "/state", code: 200, want: `"version":7,"verdict":"","age":0,"out":[]`},
 		"no state":        {seams: broken, path: "/state", code: 503, want: "loop: closed"},
 		"explain":         {seams: working, path: "/explain?account=x&code=rate", code: 200, want: `"account":"x","code":"rate","cause":"` + rate.Cause},
 		"explain a typo":  {seams: working, path: "/explain?code=rat", code: 400, want: "code is unknown"},
