--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -100,7 +100,10 @@
 func logrusFields(fields []Field) logrus.Fields {
 	out := make(logrus.Fields, len(fields)+1)
 	for _, f := range fields {
-		out[f.name] = f.value
+		// An empty name stands for one that is not known.
+		if f.value != "" {
+			out[f.name] = f.value
+		}
 	}
 	return out
 }
--- a/node/journal/journal_test.go
+++ b/node/journal/journal_test.go
@@ -46,7 +46,9 @@
 		write func(j *Journal)
 		want  map[string]any
 	}{
-		"fields": {write: func(j *Journal) { j.Info("refused", ID("r-1"), Code(answer.Rate), Took(1500*time.Microsecond)) }, want: map[string]any{
+		"fields": {write: func(j *Journal) {
+			j.Info("refused", ID("r-1"), Account(""), Code(answer.Rate), Took(1500*time.Microsecond))
+		}, want: map[string]any{
 			"level": "info", "text": "refused", "id": "r-1", "code": "rate", "took": 1.5,
 		}},
 		"id with a key":  {write: func(j *Journal) { j.Warn("x", ID("Bearer secret")) }, want: map[string]any{"level": "warning", "text": "x", "id": "(not a name)"}},
