Confirm and settle the tokens of requests; take slots from the tree

Cause: the token of a request was confirmed when it was taken and not when the request was forwarded, and never settled; two routes with different slots cut the learnt limit in turn; a displaced ticket waited for an older timer; refusals told callers addresses inside the fleet; only the first trace state line was read. Change: the attempt loop confirms before each attempt that can still be the first to run, and pays anew after a long wait; the gate's slots are the most of its service's routes and at most its connections (default 260, as stated for the targets; it was 1); timers are set for the earliest due time; refusal texts are fixed; an invalid traceparent is replaced.

--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -15,31 +15,41 @@
 const replaySize = 64 << 10
 
 // attempt offers the request to targets until one answers or no further attempt is allowed.
-func (s *Server) attempt(q request) (target.Reply, error) {
+func (s *Server) attempt(q *request) (target.Reply, error) {
 	body, err := readAhead(q.Request)
 	if err != nil {
 		return target.Reply{}, answer.NotRun(answer.Path, "the request body broke off")
 	}
-	deadline := deadlineOf(q)
+	deadline := deadlineOf(*q)
 	state := q.Header.Get("Tracestate")
 	var tried []string
+	settled := false
 	for {
+		if !settled {
+			if err := s.confirm(q); err != nil {
+				return target.Reply{}, err
+			}
+		}
 		call := target.Call{Request: body.next(q.Request), Route: q.route.Name, Account: q.account, Key: q.key, Deadline: deadline}
 		if len(tried) > 0 {
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
 		name, reply, err := s.tries.Try(call, q.route.Service, tried)
+		var refused answer.Refusal
+		if (!errors.As(err, &refused) || refused.Run != answer.RunNo) && !settled {
+			q.pass.Settle()
+			settled = true
+		}
 		if err == nil && (reply.Response.StatusCode != http.StatusServiceUnavailable || !q.route.Idempotent) {
 			return reply, nil
 		}
 		failed := Attempt{Run: answer.RunMaybe, Idempotent: q.route.Idempotent, Retrying: IsRetried(state)}
-		var refused answer.Refusal
-		if errors.As(err, &refused) {
+		if refused.Code != "" {
 			failed.Run, failed.Code = refused.Run, refused.Code
 		}
 		tried = append(tried, name)
 		failed.Number, failed.Replayable, failed.Remaining = len(tried), body.replayable(), deadline.Sub(s.now())
-		if name == "" || !s.mayRetry(q, failed) {
+		if name == "" || !s.mayRetry(*q, failed) {
 			return reply, err
 		}
 		if reply.Response != nil {
@@ -48,6 +58,22 @@
 	}
 }
 
+// confirm makes sure that the account pays for a request that is forwarded now. After a long wait, for example for
+// a connection to a node that is paused, the request pays anew.
+func (s *Server) confirm(q *request) error {
+	if q.pass.Confirm() == nil {
+		return nil
+	}
+	q.pass.Refund()
+	q.pass = free()
+	pass, err := s.spend(q.Context(), q.account)
+	if err != nil {
+		return err
+	}
+	q.pass = pass
+	return q.pass.Confirm()
+}
+
 // mayRetry applies the plan and the budget.
 func (s *Server) mayRetry(q request, failed Attempt) bool {
 	allowed, paid := MayRetry(failed)
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -45,18 +46,30 @@
 	http    *http.Server
 	now     func() time.Time
 	tree    func() (config.Tree, error)
-	spend   func(ctx context.Context, account string) (func(), error)
+	spend   func(ctx context.Context, account string) (Pass, error)
 	tries   Tries
 	events  Events
 	leaving atomic.Bool
 }
 
+// Pass is one request taken from the allowance of an account.
+type Pass struct {
+	Confirm func() error // fails if too much time has passed to forward the request
+	Refund  func()       // gives the request back if it did not run
+	Settle  func()       // tells that the request ran or may have run
+}
+
+// free is the pass of a request that no account pays for.
+func free() Pass {
+	return Pass{Confirm: func() error { return nil }, Refund: func() {}, Settle: func() {}}
+}
+
 // NewServer returns a server. tree returns the configuration in force or a refusal, spend takes one request
-// from an account's allowance and returns the function that gives it back.
+// from an account's allowance.
 func NewServer(
 	now func() time.Time,
 	tree func() (config.Tree, error),
-	spend func(ctx context.Context, account string) (func(), error),
+	spend func(ctx context.Context, account string) (Pass, error),
 	tries Tries,
 	events Events,
 ) *Server {
@@ -100,14 +113,14 @@
 	account string
 	key     config.Digest
 	begun   time.Time
-	refund  func()
+	pass    Pass
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := request{Request: r, id: requestID(r.Header), begun: s.now(), refund: func() {}}
+	q := request{Request: r, id: requestID(r.Header), begun: s.now(), pass: free()}
 	w.Header().Set(answer.HeaderRequestID, q.id)
 	q, err := s.admit(q)
 	if err != nil {
@@ -117,7 +130,7 @@
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), answer.Informational(w)))
 	defer cancel()
 	q.Request = s.outgoing(ctx, q)
-	reply, err := s.attempt(q)
+	reply, err := s.attempt(&q)
 	if err != nil {
 		s.refuse(w, q, err)
 		return
@@ -162,11 +175,11 @@
 	if !account.Allows(route.Name) {
 		return q, answer.NotRun(answer.Scope, "the account may not use the route")
 	}
-	refund, err := s.spend(q.Context(), account.Name)
+	pass, err := s.spend(q.Context(), account.Name)
 	if err != nil {
 		return q, err
 	}
-	q.refund = refund
+	q.pass = pass
 	return q, nil
 }
 
@@ -182,19 +195,31 @@
 		out.Header.Set(answer.HeaderDeadline, deadline)
 	}
 	out.Header.Set(answer.HeaderRequestID, q.id)
-	if out.Header.Get("Traceparent") == "" {
-		out.Header.Set("Traceparent", "00-"+randomHex(16)+"-"+randomHex(8)+"-00")
-	}
+	cleanTrace(out.Header)
 	return out
 }
 
+// traceparent is the form of W3C trace context, version 00; later versions only append fields.
+var traceparent = regexp.MustCompile(`^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}`)
+
+// cleanTrace joins the lines of the trace state, and starts a trace where there is no valid one: applications
+// drop the trace state, which marks repeated attempts, if its trace is missing or invalid.
+func cleanTrace(h http.Header) {
+	if parents := h.Values("Traceparent"); len(parents) != 1 || !traceparent.MatchString(parents[0]) {
+		h.Set("Traceparent", "00-"+randomHex(16)+"-"+randomHex(8)+"-00")
+	}
+	if states := h.Values("Tracestate"); len(states) > 1 {
+		h.Set("Tracestate", strings.Join(states, ","))
+	}
+}
+
 func (s *Server) refuse(w http.ResponseWriter, q request, err error) {
 	var refused answer.Refusal
 	if !errors.As(err, &refused) {
 		refused = answer.MaybeRun(answer.Lost, err.Error())
 	}
 	if refused.Run == answer.RunNo {
-		q.refund()
+		q.pass.Refund()
 	}
 	if s.events.Refused != nil {
 		s.events.Refused(q.route.Name, q.account, q.id, refused)
--- a/node/config/format_test.go
+++ b/node/config/format_test.go
@@ -40,7 +40,7 @@
 	require.True(t, ok)
 	require.Equal(t, Route{
 		Name: "export", Host: "streaks.example", Path: "/export", Service: "history", Idempotent: true,
-		Deadline: 2 * time.Second, Retries: 0.1, Probe: 0.005, Slots: 3, Conns: 1,
+		Deadline: 2 * time.Second, Retries: 0.1, Probe: 0.005, Slots: 3, Conns: 260,
 	}, export)
 	a, ok := tree.Authenticate(DigestOf("secret"))
 	require.True(t, ok)
--- a/node/config/resolve.go
+++ b/node/config/resolve.go
@@ -51,7 +51,7 @@
 	known := map[string]bool{}
 	paths := map[string]Route{}
 	for _, name := range slices.Sorted(maps.Keys(r.sections[Routes])) {
-		rt := Route{Name: name, Deadline: defaultDeadline, Retries: defaultRetries, Probe: defaultProbe, Slots: 1, Conns: 1}
+		rt := Route{Name: name, Deadline: defaultDeadline, Retries: defaultRetries, Probe: defaultProbe, Slots: 1, Conns: defaultConns}
 		fields := r.inherit(Routes, name)
 		r.apply(Routes, name, fields, routeFields(&rt), origins)
 		if rt.Host == "" {
--- a/node/config/values.go
+++ b/node/config/values.go
@@ -16,6 +16,7 @@
 	defaultDeadline = 2 * time.Second
 	defaultRetries  = 0.1
 	defaultProbe    = 0.005
+	defaultConns    = 260 // connections that the first targets accept
 	maxDeadline     = time.Hour
 	maxSlots        = 10_000
 	maxConns        = 10_000
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -109,10 +109,23 @@
 func (n *Node) onTree(now time.Time, t config.Tree) {
 	n.limiter.OnTree(now, t)
 	n.limiter.OnKnown(now, n.known(now))
+	n.admission.SetSlots(now, n.slots(t))
 	n.admission.SetOut(now, t.IsOut(n.settings.Domain))
 	n.journal.Info("configuration in force", journal.Version(t.Version()))
 }
 
+// slots returns how many requests at once the warm target has capacity for: the most of its service's routes,
+// and never more than its connections.
+func (n *Node) slots(t config.Tree) int {
+	slots := 1
+	for _, r := range t.Routes() {
+		if r.Service == n.settings.Service {
+			slots = max(slots, min(r.Slots, r.Conns))
+		}
+	}
+	return slots
+}
+
 // onBeat takes what another node's heartbeat says of versions; it runs on the control goroutine.
 func (n *Node) onBeat(at time.Time, b instance.Beat) {
 	n.store.Beat(at, b)
--- a/node/daemon/fleet_test.go
+++ b/node/daemon/fleet_test.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"io"
 	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -97,13 +96,13 @@
 	nodes    map[string]*running
 }
 
-// startFleet runs a node beside each target until the test ends, and waits until all serve the tree.
-func startFleet(t *testing.T, tree string, places ...place) *testFleet {
+// startFleet runs a node beside each target until the test ends, and waits until all serve openTree.
+func startFleet(t *testing.T, places ...place) *testFleet {
 	t.Helper()
 	f := &testFleet{platform: &platform{values: map[string][]byte{}}, nodes: map[string]*running{}}
 	server := httptest.NewServer(f.platform)
 	t.Cleanup(server.Close)
-	f.platform.publish(t, 1, tree)
+	f.platform.publish(t, 1, openTree)
 	dir := t.TempDir()
 	names := make([]string, 0, len(places))
 	for _, p := range places {
@@ -193,13 +192,3 @@
 	t.Cleanup(tr.CloseIdleConnections)
 	return &http.Client{Transport: tr, Timeout: 20 * time.Second}
 }
-
-// reserve returns an address on which nothing listens.
-func reserve(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -227,15 +227,12 @@
 
 func (n *Node) domainsOut() []string { return n.store.Snapshot().Tree().Fleet().Out }
 
-func (n *Node) spend(ctx context.Context, name string) (func(), error) {
+func (n *Node) spend(ctx context.Context, name string) (caller.Pass, error) {
 	pass, err := n.limiter.Spend(ctx, name)
 	if err != nil {
-		return nil, err
-	}
-	if err := pass.Confirm(); err != nil {
-		return nil, err
+		return caller.Pass{}, err
 	}
-	return pass.Refund, nil
+	return caller.Pass{Confirm: pass.Confirm, Refund: pass.Refund, Settle: pass.Settle}, nil
 }
 
 func (n *Node) probeBudget() float64 {
--- a/node/daemon/path_test.go
+++ b/node/daemon/path_test.go
@@ -35,7 +35,7 @@
 // twoNodes starts an entry node without targets of the service, and a node beside the only target.
 func twoNodes(t *testing.T, target http.HandlerFunc) (entry, beside *running) {
 	t.Helper()
-	f := startFleet(t, openTree,
+	f := startFleet(t,
 		place{name: "a1", domain: "a", service: "none", target: http.NotFound},
 		place{name: "b1", domain: "a", service: "app", target: target})
 	return f.nodes["a1"], f.nodes["b1"]
@@ -261,7 +261,7 @@
 		}
 		_, _ = io.WriteString(w, "done")
 	}
-	f := startFleet(t, openTree,
+	f := startFleet(t,
 		place{name: "a1", domain: "a", service: "app", target: broken},
 		place{name: "b1", domain: "a", service: "app", target: broken})
 	client := newCaller(t)
@@ -307,7 +307,7 @@
 func TestDeadTarget(t *testing.T) {
 	t.Parallel()
 	served := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }
-	f := startFleet(t, openTree,
+	f := startFleet(t,
 		place{name: "a1", domain: "a", service: "app", target: served},
 		place{name: "b1", domain: "a", service: "app", target: served})
 	f.nodes["b1"].target.Close()
@@ -364,7 +364,7 @@
 	t.Parallel()
 	release := make(chan struct{})
 	started := make(chan struct{}, 2)
-	f := startFleet(t, openTree,
+	f := startFleet(t,
 		place{name: "a1", domain: "a", service: "none", target: http.NotFound},
 		place{name: "b1", domain: "a", service: "app", target: func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.RawQuery == "wait" {
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -104,13 +104,17 @@
 
 // refusal tells whether a failed attempt can have run: without a connection no byte was sent.
 func refusal(err error, connected bool) answer.Refusal {
-	if !connected {
-		return answer.NotRun(answer.Busy, fmt.Sprintf("no connection to the target's node: %v", err))
+	// The texts name no cause, since callers must not learn addresses inside the fleet.
+	late := errors.Is(err, context.DeadlineExceeded)
+	switch {
+	case !connected && late:
+		return answer.NotRun(answer.Late, "the deadline passed before the target's node was connected")
+	case !connected:
+		return answer.NotRun(answer.Busy, "no connection to the target's node")
+	case late:
+		return answer.MaybeRun(answer.Late, "the deadline passed while the request was running")
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		return answer.MaybeRun(answer.Late, "deadline passed while the request was running")
-	}
-	return answer.MaybeRun(answer.Lost, fmt.Sprintf("connection to the target's node broke: %v", err))
+	return answer.MaybeRun(answer.Lost, "the connection to the target's node broke")
 }
 
 func reply(res *http.Response) (target.Reply, error) {
--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -8,7 +8,6 @@
 
 	"verbenapin.dev/node/answer"
 	"verbenapin.dev/node/clock"
-	"verbenapin.dev/node/config"
 	"verbenapin.dev/node/loop"
 )
 
@@ -21,10 +20,9 @@
 	clock   *clock.Clock
 	arrive  func(g Gate, now time.Time, t Ticket) (Gate, Verdict)
 	gate    Gate
-	slots   int
 	waiting map[uint64]chan Verdict
 	next    uint64
-	timer   *clock.Subscription
+	due     time.Time // earliest timer, zero if none is set
 	probe   ProbeState
 	load    atomic.Pointer[Load]
 	probes  *clock.Subscription
@@ -43,7 +41,7 @@
 ) *Admission {
 	a := &Admission{
 		loop: l, clock: c, arrive: arrive,
-		gate: NewGate(1), slots: 1,
+		gate:    NewGate(1),
 		waiting: map[uint64]chan Verdict{},
 		probe:   NewProbeState(c.Now()),
 		begun:   c.Now(),
@@ -62,7 +60,7 @@
 }
 
 // Admit waits until the gate starts the ticket; the returned function must be called with the outcome.
-func (a *Admission) Admit(ctx context.Context, t Ticket, route config.Route) (func(Outcome), error) {
+func (a *Admission) Admit(ctx context.Context, t Ticket) (func(Outcome), error) {
 	// The event must run to its end even if the caller leaves, because it may take a slot.
 	bound := context.WithoutCancel(ctx)
 	verdicts := make(chan Verdict, 1)
@@ -70,7 +68,6 @@
 	err := a.loop.Call(bound, func(now time.Time) {
 		a.next++
 		t.ID = a.next
-		a.setSlots(route.Slots)
 		a.gate, first = a.arrive(a.gate, now, t)
 		if first.Action == Wait {
 			a.waiting[t.ID] = verdicts
@@ -144,11 +141,10 @@
 	a.settle(now, nil)
 }
 
-func (a *Admission) setSlots(slots int) {
-	if slots > 0 && slots != a.slots {
-		a.slots = slots
-		a.gate = a.gate.WithSlots(slots)
-	}
+// SetSlots sets how many requests at once the warm target has capacity for; it runs on the control goroutine.
+func (a *Admission) SetSlots(now time.Time, slots int) {
+	a.gate = a.gate.WithSlots(slots)
+	a.settle(now, nil)
 }
 
 // settle hands out verdicts, publishes the report and sets the timer of the queue.
@@ -160,21 +156,29 @@
 		}
 	}
 	a.publish(now)
-	if a.timer != nil {
+	due, ok := a.gate.Due()
+	if !ok || (!a.due.IsZero() && !due.Before(a.due)) {
 		return
 	}
-	if due, ok := a.gate.Due(); ok {
-		a.timer = a.clock.After(max(due.Sub(now), 0), func(time.Time) { _ = a.loop.Post(context.Background(), a.tick) })
-	}
+	// An earlier timer that is already set may fire as well; a tick that is not due changes nothing.
+	a.due = laterOf(due, now)
+	a.clock.After(a.due.Sub(now), func(time.Time) { _ = a.loop.Post(context.Background(), a.tick) })
 }
 
 func (a *Admission) tick(now time.Time) {
-	a.timer = nil
+	a.due = time.Time{}
 	var more []Verdict
 	a.gate, more = a.gate.WithTick(now)
 	a.settle(now, more)
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (a *Admission) publish(now time.Time) {
 	load := a.gate.Load(now)
 	a.load.Store(&load)
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,7 +16,7 @@
 	now  func() time.Time
 	tree func() (config.Tree, error)
 	// admit waits until the gate starts the ticket; the returned function reports the outcome.
-	admit     func(ctx context.Context, t Ticket, route config.Route) (func(Outcome), error)
+	admit     func(ctx context.Context, t Ticket) (func(Outcome), error)
 	load      func() Load
 	roundTrip func(*http.Request) (*http.Response, error)
 }
@@ -26,7 +25,7 @@
 func NewServer(
 	now func() time.Time,
 	tree func() (config.Tree, error),
-	admit func(ctx context.Context, t Ticket, route config.Route) (func(Outcome), error),
+	admit func(ctx context.Context, t Ticket) (func(Outcome), error),
 	load func() Load,
 	roundTrip func(*http.Request) (*http.Response, error),
 ) *Server {
@@ -35,11 +34,10 @@
 
 // Do admits and runs an attempt. Its error is an answer.Refusal; the response's body must be closed.
 func (s *Server) Do(c Call) (Reply, error) {
-	route, err := s.check(c)
-	if err != nil {
+	if err := s.check(c); err != nil {
 		return Reply{Load: s.load(), Reported: true}, err
 	}
-	finish, err := s.admit(c.Request.Context(), Ticket{Account: c.Account, Deadline: c.Deadline}, route)
+	finish, err := s.admit(c.Request.Context(), Ticket{Account: c.Account, Deadline: c.Deadline})
 	if err != nil {
 		return Reply{Load: s.load(), Reported: true}, err
 	}
@@ -48,26 +46,26 @@
 }
 
 // check applies the rules of this node's own configuration, which may be newer than the sender's.
-func (s *Server) check(c Call) (config.Route, error) {
+func (s *Server) check(c Call) error {
 	tree, err := s.tree()
 	if err != nil {
-		return config.Route{}, err
+		return err
 	}
 	route, ok := tree.Route(c.Route)
 	if !ok {
-		return config.Route{}, answer.NotRun(answer.Route, "the target's node has no such route")
+		return answer.NotRun(answer.Route, "the target's node has no such route")
 	}
 	if route.Open {
-		return route, nil
+		return nil
 	}
 	account, ok := tree.Authenticate(c.Key)
 	if !ok || account.Name != c.Account {
-		return config.Route{}, answer.NotRun(answer.Key, "the key is unknown or was revoked")
+		return answer.NotRun(answer.Key, "the key is unknown or was revoked")
 	}
 	if !account.Allows(route.Name) {
-		return config.Route{}, answer.NotRun(answer.Scope, "the account may not use the route")
+		return answer.NotRun(answer.Scope, "the account may not use the route")
 	}
-	return route, nil
+	return nil
 }
 
 // run sends the request to the target and returns its response, whose body is read ahead.
@@ -119,9 +117,9 @@
 		if sent.Refused {
 			outcome.Kind = Refused
 		}
-		return answer.NotRun(answer.Busy, fmt.Sprintf("target cannot be reached: %v", sent.Err))
+		return answer.NotRun(answer.Busy, "the target cannot be reached")
 	}
-	return answer.MaybeRun(answer.Lost, fmt.Sprintf("connection to the target broke: %v", sent.Err))
+	return answer.MaybeRun(answer.Lost, "the connection to the target broke")
 }
 
 func kindOf(status int) Kind {
