Let stand-ins and checks serve the scenarios

Scenarios need a target that restarts cold, its records after its end, probe time apart from connection time, and the requests refused for their rate although within it. A killed target's records are read after its end: a request started between the copy and the end was missing from the history and would have counted as lost.

--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -170,6 +170,17 @@
 	return d
 }
 
+// WithCount returns d with n targets of one service.
+func (d Deployment) WithCount(service string, n int) Deployment {
+	d.services = slices.Clone(d.services)
+	for i := range d.services {
+		if d.services[i].Name == service {
+			d.services[i].Targets = n
+		}
+	}
+	return d
+}
+
 // YAML returns the configuration tree.
 func (d Deployment) YAML() []byte {
 	var b strings.Builder
--- a/measure/fleet/fleet.go
+++ b/measure/fleet/fleet.go
@@ -279,13 +279,21 @@
 	return list
 }
 
-// StartTarget starts the target of an instance.
-func (f *Fleet) StartTarget(name string) error {
+// StartTarget starts the target of an instance, warm.
+func (f *Fleet) StartTarget(name string) error { return f.startTarget(name, func(*upstream.Server) {}) }
+
+// StartColdTarget starts the target of an instance with a cold start.
+func (f *Fleet) StartColdTarget(name string) error {
+	return f.startTarget(name, (*upstream.Server).Cool)
+}
+
+func (f *Fleet) startTarget(name string, prepare func(*upstream.Server)) error {
 	n := f.Node(name)
 	s := upstream.Defaults(name)
 	s.Slots, s.Service = n.Service.Slots, n.Service.Time
 	t := upstream.New(s)
 	f.targets[name] = t
+	prepare(t)
 	if _, err := t.Listen(n.Target); err != nil {
 		return err
 	}
@@ -296,8 +304,8 @@
 // KillTarget ends the target of an instance.
 func (f *Fleet) KillTarget(name string) {
 	t := f.targets[name]
-	f.past = append(f.past, t.Executions()...)
 	t.Close()
+	f.past = append(f.past, t.Executions()...)
 	delete(f.targets, name)
 }
 
--- a/measure/history/history.go
+++ b/measure/history/history.go
@@ -25,6 +25,7 @@
 	Outcome    Outcome
 	AnswerID   string // id of the request that the response names
 	Started    time.Time
+	Limited    bool // refused for the account's rate
 }
 
 // Execution is a request as a target saw it.
@@ -106,3 +107,24 @@
 	}
 	return worst
 }
+
+// Wrongful returns the requests of an account that were refused for their rate although a token bucket of the whole fleet,
+// debited for every request that was not refused, held a token when they were sent.
+func Wrongful(rate, burst float64, calls []Call) []string {
+	ordered := slices.Clone(calls)
+	slices.SortFunc(ordered, func(a, b Call) int { return a.Started.Compare(b.Started) })
+	var wrongful []string
+	level := burst
+	for i, c := range ordered {
+		if i > 0 {
+			level = min(burst, level+rate*c.Started.Sub(ordered[i-1].Started).Seconds())
+		}
+		switch {
+		case !c.Limited:
+			level--
+		case level >= 1:
+			wrongful = append(wrongful, c.ID)
+		}
+	}
+	return wrongful
+}
--- a/measure/history/history_test.go
+++ b/measure/history/history_test.go
@@ -86,3 +86,20 @@
 		require.InDelta(t, worst, Excess(rate, burst, spans), 1e-6)
 	})
 }
+
+// TestWrongful guards against refusals that count as wrongful beyond the rate, or as right within it.
+func TestWrongful(t *testing.T) {
+	cases := map[string]struct {
+		calls []Call
+		want  []string
+	}{
+		"within the burst": {calls: []Call{{ID: "a", Started: at(0)}, {ID: "b", Started: at(0), Limited: true}}, want: []string{"b"}},
+		"beyond the burst": {calls: []Call{{ID: "a", Started: at(0)}, {ID: "b", Started: at(0)}, {ID: "c", Started: at(99), Limited: true}}},
+		"refilled":         {calls: []Call{{ID: "c", Started: at(100), Limited: true}, {ID: "a", Started: at(0)}, {ID: "b", Started: at(0)}}, want: []string{"c"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.want, Wrongful(10, 2, tc.calls))
+		})
+	}
+}
--- a/measure/load/request.go
+++ b/measure/load/request.go
@@ -74,7 +74,7 @@
 // Call returns the answer as an element of a history.
 func (a Answer) Call() history.Call {
 	c := history.Call{
-		ID: a.Request.ID, Account: a.Request.Account, Idempotent: a.Request.Idempotent, AnswerID: a.AnswerID, Started: a.Started,
+		ID: a.Request.ID, Account: a.Request.Account, Idempotent: a.Request.Idempotent, AnswerID: a.AnswerID, Started: a.Started, Limited: a.Code == "rate",
 	}
 	switch {
 	case a.Err != nil:
--- a/measure/platform/server.go
+++ b/measure/platform/server.go
@@ -21,8 +21,8 @@
 	maxValue = 1 << 20
 	// maxWait bounds a long poll.
 	maxWait = time.Minute
-	// closeTimeout bounds the wait for calls that are being answered.
-	closeTimeout = time.Second
+	// closeTimeout bounds the wait for connections in use; long polls are answered at once.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // Server answers readers on one or more listeners and takes changes on its admin listener.
--- a/measure/report/report.go
+++ b/measure/report/report.go
@@ -30,17 +30,10 @@
 	return Figure{Name: name, Unit: unit, Note: note}
 }
 
-// WithAtMost returns f with an upper bound.
-func (f Figure) WithAtMost(bound float64) Figure {
-	f.Bound = &bound
-	f.Pass = f.Value != nil && *f.Value <= bound
-	return f
-}
-
-// WithAtLeast returns f with a lower bound.
-func (f Figure) WithAtLeast(bound float64) Figure {
-	f.Bound = &bound
-	f.Pass = f.Value != nil && *f.Value >= bound
+// WithBound returns f with an upper bound, or without one; a figure that was not measured does not pass in either case.
+func (f Figure) WithBound(bound *float64) Figure {
+	f.Bound = bound
+	f.Pass = f.Value != nil && (bound == nil || *f.Value <= *bound)
 	return f
 }
 
--- a/measure/report/report_test.go
+++ b/measure/report/report_test.go
@@ -17,16 +17,16 @@
 
 // TestFigure guards against a figure that passes beyond its bound or without a measurement.
 func TestFigure(t *testing.T) {
+	five := 5.0
 	cases := map[string]struct {
 		figure Figure
 		pass   bool
 	}{
 		"no bound":     {figure: NewFigure("x", 5, "ms"), pass: true},
-		"within":       {figure: NewFigure("x", 5, "ms").WithAtMost(5), pass: true},
-		"beyond":       {figure: NewFigure("x", 5.1, "ms").WithAtMost(5)},
-		"below":        {figure: NewFigure("x", 0.4, "share").WithAtLeast(0.5)},
-		"not measured": {figure: NewMissing("x", "ms", "the node did not start").WithAtMost(5)},
-		"infinite":     {figure: NewFigure("x", math.Inf(1), "ms").WithAtMost(5)},
+		"within":       {figure: NewFigure("x", 5, "ms").WithBound(&five), pass: true},
+		"beyond":       {figure: NewFigure("x", 5.1, "ms").WithBound(&five)},
+		"not measured": {figure: NewMissing("x", "ms", "the node did not start").WithBound(&five)},
+		"infinite":     {figure: NewFigure("x", math.Inf(1), "ms").WithBound(&five)},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/measure/upstream/listener.go
+++ b/measure/upstream/listener.go
@@ -33,7 +33,7 @@
 			_ = c.Close()
 			continue
 		}
-		s.busy(context.Background(), s.settings.Connect)
+		s.pass(context.Background(), s.settings.Connect)
 		return &conn{Conn: c, server: s}, nil
 	}
 }
--- a/measure/upstream/record.go
+++ b/measure/upstream/record.go
@@ -33,7 +33,7 @@
 	Over     int             `json:"over"`     // requests beyond the capacity at their arrival
 	Excess   int             `json:"excess"`   // largest number of requests beyond the capacity at one time
 	Probes   int             `json:"probes"`   // calls of /probe
-	Probing  time.Duration   `json:"probing"`  // nanoseconds that probes and new connections took
+	Probing  time.Duration   `json:"probing"`  // nanoseconds that probes took
 	Conns    int             `json:"conns"`    // open connections
 	Rejected int             `json:"rejected"` // connections beyond the limit
 	Keys     int             `json:"keys"`     // requests with an API key in any header
--- a/measure/upstream/server.go
+++ b/measure/upstream/server.go
@@ -24,8 +24,8 @@
 const (
 	// maxBody bounds the request bodies that a target reads.
 	maxBody = 64 << 20
-	// closeTimeout bounds the wait for requests that are being answered.
-	closeTimeout = 2 * time.Second
+	// closeTimeout bounds the wait for connections in use; requests that wait are aborted at once.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // Server is one target.
@@ -117,10 +117,13 @@
 	return r
 }
 
-// Executions returns every request that the target has started.
+// Executions returns every request that the target has started, also after Close.
 func (s *Server) Executions() []Execution {
 	var list []Execution
-	_ = s.loop.Call(context.Background(), func(time.Time) { list = slices.Clone(s.list) })
+	if s.loop.Call(context.Background(), func(time.Time) { list = slices.Clone(s.list) }) != nil {
+		s.served.Wait()
+		list = slices.Clone(s.list)
+	}
 	return list
 }
 
@@ -257,7 +260,11 @@
 
 // probe answers a health check, which takes time from the target.
 func (s *Server) probe(w http.ResponseWriter, r *http.Request) {
-	if s.loop.Call(r.Context(), func(time.Time) { s.report.Probes++ }) != nil || !s.busy(r.Context(), s.settings.Probe) {
+	err := s.loop.Call(r.Context(), func(time.Time) {
+		s.report.Probes++
+		s.report.Probing += s.settings.Probe
+	})
+	if err != nil || !s.pass(r.Context(), s.settings.Probe) {
 		panic(http.ErrAbortHandler)
 	}
 	var fault Fault
@@ -292,12 +299,6 @@
 	}
 }
 
-// busy passes time that measuring takes from the target.
-func (s *Server) busy(ctx context.Context, d time.Duration) bool {
-	_ = s.loop.Call(ctx, func(time.Time) { s.report.Probing += d })
-	return s.pass(ctx, d)
-}
-
 // pass waits, and returns false if the request was cancelled or the target ends.
 func (s *Server) pass(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
