--- a/measure/main.go
+++ b/measure/main.go
@@ -8,12 +8,15 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
 	"verbenapin.dev/measure/certs"
 	"verbenapin.dev/measure/demo"
+	"verbenapin.dev/measure/report"
+	"verbenapin.dev/measure/scenario"
 )
 
 func main() {
@@ -30,6 +33,7 @@
 		data any
 	}{
 		"demo":  {text: "Start both deployments, send requests, clean up", data: &demoCommand{ctx: ctx}},
+		"run":   {text: "Measure and write the figures", data: &runCommand{ctx: ctx}},
 		"certs": {text: "Write throwaway certificates for nodes", data: &certsCommand{}},
 	}
 	for name, c := range commands {
@@ -92,6 +96,55 @@
 	return demo.New(binary, os.Stdout).Run(c.ctx)
 }
 
+type runCommand struct {
+	Node  string   `long:"node" env:"MEASURE_NODE" description:"node program, by default the one beside this program"`
+	Quick bool     `long:"quick" description:"end within a minute"`
+	Out   string   `long:"out" default:"measure.json" description:"file for the figures"`
+	Plots string   `long:"plots" description:"directory for plots, by default none"`
+	Only  []string `long:"only" description:"name of a scenario to run; by default all run"`
+	Logs  string   `long:"logs" description:"directory for the logs of nodes, by default a temporary one that is removed"`
+	ctx   context.Context
+}
+
+// Execute measures; it fails if a figure is missing or beyond its bound.
+func (c *runCommand) Execute([]string) error {
+	binary, err := nodeBinary(c.Node)
+	if err != nil {
+		return err
+	}
+	dir := c.Logs
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "verbenapin-measure-"); err != nil {
+			return fmt.Errorf("measure: creating a directory: %w", err)
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	if c.Plots != "" {
+		if err := os.MkdirAll(c.Plots, 0o750); err != nil {
+			return fmt.Errorf("measure: creating the directory for plots: %w", err)
+		}
+	}
+	scenarios := scenario.All()
+	if len(c.Only) > 0 {
+		scenarios = slices.DeleteFunc(scenarios, func(s scenario.Scenario) bool { return !slices.Contains(c.Only, s.Name) })
+	}
+	figures := scenario.Bench{Binary: binary, Dir: dir, Plots: c.Plots, Quick: c.Quick, Out: os.Stderr}.Run(c.ctx, scenarios)
+	bad := 0
+	for _, f := range figures {
+		fmt.Println(f.Line())
+		if !f.Pass {
+			bad++
+		}
+	}
+	if err := report.Write(c.Out, figures); err != nil {
+		return err
+	}
+	if bad > 0 {
+		return fmt.Errorf("measure: %d of %d figures are missing or beyond their bounds", bad, len(figures))
+	}
+	return nil
+}
+
 type certsCommand struct {
 	Dir  string `long:"dir" default:"certs" description:"directory to write to"`
 	Args struct {
--- /dev/null
+++ b/measure/scenario/added.go
@@ -0,0 +1,57 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"verbenapin.dev/measure/deployment"
+	"verbenapin.dev/measure/load"
+	"verbenapin.dev/measure/report"
+)
+
+// added measures what two nodes in one failure domain add to the latency of a call, against calls straight to the target.
+func added() Scenario {
+	return Scenario{
+		Name: "added", Alone: true, Naive: robin,
+		Specs: []Spec{
+			{Name: "added_p50_ms", Unit: "ms"},
+			{Name: "added_p99_ms", Unit: "ms", Bound: bound(0.68)},
+		},
+		Run: runAdded,
+	}
+}
+
+func runAdded(ctx context.Context, b Bench) (map[string]float64, error) {
+	// The only target of the route is beside a1, and a2 in the same domain is the entry.
+	d := deployment.Abitudini().WithCount("history", 1).WithCount("checkins", 2).WithCount("exports", 1)
+	s, err := b.setUp(ctx, "added", d, true)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	const rate = 150
+	// A cost this small keeps the spread of the service time below the latency that is measured.
+	t := s.traffic(d.Account("lombardia"), 0.02).WithRoutes("history")
+	through, straight := t.source(rate, s.Entry("a2")), t.source(rate, s.Node("a1").Target)
+	if _, err := s.run(ctx, time.Second, []load.Source{through, straight}, nil); err != nil {
+		return nil, err
+	}
+	r, err := s.run(ctx, b.lasts(3*time.Second, 15*time.Second), []load.Source{through, straight}, nil)
+	if err != nil {
+		return nil, err
+	}
+	by := func(entry string) load.Result { return r.Where(func(a load.Answer) bool { return a.Entry == entry }) }
+	node, target := by(s.Entry("a2")), by(s.Node("a1").Target)
+	if path, ok := b.plot("added"); ok {
+		err := report.PlotLatency(path, map[string]*hdrhistogram.Histogram{"through nodes": node.Latency(), "straight": target.Latency()})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return map[string]float64{
+		"added_p50_ms": node.Quantile(50) - target.Quantile(50),
+		"added_p99_ms": node.Quantile(99) - target.Quantile(99),
+	}, nil
+}
--- /dev/null
+++ b/measure/scenario/admission.go
@@ -0,0 +1,51 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"verbenapin.dev/measure/deployment"
+	"verbenapin.dev/measure/history"
+	"verbenapin.dev/measure/load"
+)
+
+// admission measures whether any account gets more than its rate and burst while all send three times their rate
+// at all nodes and one node, which holds tokens, is paused for longer than its tokens last.
+func admission() Scenario {
+	return Scenario{
+		Name:  "admission",
+		Specs: []Spec{{Name: "over_admission", Unit: "requests", Bound: bound(0), Note: "largest excess of any account in any interval"}},
+		Run:   runAdmission,
+	}
+}
+
+func runAdmission(ctx context.Context, b Bench) (map[string]float64, error) {
+	d := deployment.ChueDee().WithTargets(4, "shortlists")
+	s, err := b.setUp(ctx, "admission", d, false)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	length := b.lasts(4*time.Second, 12*time.Second)
+	r, err := s.run(ctx, length, s.sources(3, 1), func(ctx context.Context) error {
+		var err error
+		after(ctx, length/8, func() { err = s.Pause("a2") })
+		if err != nil {
+			return err
+		}
+		after(ctx, 2500*time.Millisecond, func() { err = s.Resume("a2") })
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if r.Count(func(a load.Answer) bool { return a.Code == "rate" }) == 0 {
+		return nil, NothingError{Text: "no request was refused for its rate"}
+	}
+	calls, executions := r.Calls(), s.executions()
+	worst := 0.0
+	for _, a := range d.Accounts() {
+		worst = max(worst, history.Excess(a.Rate, a.Burst, history.Spans(a.Name, calls, executions)))
+	}
+	return map[string]float64{"over_admission": worst}, nil
+}
--- /dev/null
+++ b/measure/scenario/cold.go
@@ -0,0 +1,41 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"verbenapin.dev/measure/deployment"
+)
+
+// cold counts the requests beyond its capacity that a target receives after it restarts with a cold start.
+func cold() Scenario {
+	return Scenario{
+		Name: "cold", Naive: open,
+		Specs: []Spec{{Name: "cold_excess", Unit: "requests", Bound: bound(0), Note: "after a restart of the target"}},
+		Run:   runCold,
+	}
+}
+
+func runCold(ctx context.Context, b Bench) (map[string]float64, error) {
+	s, err := b.setUp(ctx, "cold", deployment.Abitudini().WithTargets(3, "history"), false)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	// Three targets serve 900 requests a second at this cost, two of them 600; the load is about 500.
+	length := b.lasts(4*time.Second, 10*time.Second)
+	_, err = s.run(ctx, length, s.sources(0.36, 8), func(ctx context.Context) error {
+		after(ctx, length/5, func() { s.KillTarget("b1") })
+		var err error
+		after(ctx, 200*time.Millisecond, func() { err = s.StartColdTarget("b1") })
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	r := s.Target("b1").Report()
+	if r.Executed+r.Shed == 0 {
+		return nil, NothingError{Text: "the cold target received no request"}
+	}
+	return map[string]float64{"cold_excess": float64(r.Over)}, nil
+}
--- /dev/null
+++ b/measure/scenario/control.go
@@ -0,0 +1,59 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"verbenapin.dev/measure/deployment"
+)
+
+// control measures what a node's control plane uses without traffic; the most expensive node counts.
+func control() Scenario {
+	const note = "without traffic; the bound is that at 1,200 nodes"
+	return Scenario{
+		Name: "control",
+		Specs: []Spec{
+			{Name: "control_cpu_share", Unit: "cores", Bound: bound(0.011), Note: note},
+			{Name: "control_rss_mb", Unit: "MB", Bound: bound(32), Note: note},
+			{Name: "control_bytes_s", Unit: "bytes/s", Bound: bound(5000), Note: "mean of sent and received between nodes; " + note},
+		},
+		Run: runControl,
+	}
+}
+
+func runControl(ctx context.Context, b Bench) (map[string]float64, error) {
+	d := deployment.Abitudini()
+	if b.Quick {
+		d = d.WithTargets(3)
+	}
+	s, err := b.setUp(ctx, "control", d, false)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	cpu := map[string]time.Duration{}
+	for _, n := range s.Nodes() {
+		if cpu[n.Name], err = s.CPU(n.Name); err != nil {
+			return nil, err
+		}
+	}
+	start, bytes := time.Now(), s.ControlBytes()
+	after(ctx, b.lasts(4*time.Second, 30*time.Second), func() {})
+	length := time.Since(start)
+	share, memory := 0.0, 0.0
+	for _, n := range s.Nodes() {
+		used, err := s.CPU(n.Name)
+		if err != nil {
+			return nil, err
+		}
+		rss, err := s.RSS(n.Name)
+		if err != nil {
+			return nil, err
+		}
+		share = max(share, float64(used-cpu[n.Name])/float64(length))
+		memory = max(memory, float64(rss)/1e6)
+	}
+	// Each byte is sent by one node and received by another.
+	each := 2 * float64(s.ControlBytes()-bytes) / float64(len(s.Nodes())) / length.Seconds()
+	return map[string]float64{"control_cpu_share": share, "control_rss_mb": memory, "control_bytes_s": each}, ctx.Err()
+}
--- /dev/null
+++ b/measure/scenario/faults.go
@@ -0,0 +1,75 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"verbenapin.dev/measure/deployment"
+	"verbenapin.dev/measure/history"
+	"verbenapin.dev/measure/load"
+	"verbenapin.dev/measure/platform"
+	"verbenapin.dev/measure/upstream"
+)
+
+// faults checks the history of a run in which nodes and targets are killed and paused, a failure domain is cut off and the platform is down.
+func faults() Scenario {
+	return Scenario{
+		Name: "faults",
+		Specs: []Spec{
+			{Name: "doubled", Unit: "requests", Bound: bound(0)},
+			{Name: "lost_answers", Unit: "requests", Bound: bound(0), Note: "entries that are killed or paused excluded"},
+			{Name: "crossed_answers", Unit: "requests", Bound: bound(0)},
+			{Name: "false_not_run", Unit: "requests", Bound: bound(0)},
+		},
+		Run: runFaults,
+	}
+}
+
+func runFaults(ctx context.Context, b Bench) (map[string]float64, error) {
+	d := deployment.ChueDee().WithTargets(4, "shortlists", "reservations")
+	s, err := b.setUp(ctx, "faults", d, false)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	// With four targets of each service, a3 and b3 are the third nodes of their domains and serve reservations.
+	const killed, paused = "a3", "b3"
+	entries := []string{s.Entry("a1"), s.Entry("b1"), s.Entry("c1"), s.Entry("a2")}
+	step := b.lasts(500*time.Millisecond, 2*time.Second)
+	steps := []func() error{
+		func() error { return s.Platform.SetFaults(platform.Faults{Values: platform.Switch{Down: true}}) },
+		func() error { s.Kill(killed); return nil },
+		func() error { return s.Pause(paused) },
+		func() error { s.KillTarget("c1"); return nil },
+		func() error { return s.StartNode(killed) },
+		func() error { return s.StartColdTarget("c1") },
+		func() error { return s.Resume(paused) },
+		func() error { s.Cut("c"); return nil },
+		func() error { s.Target("a1").SetFault(upstream.Fault{Shed: true}); return nil },
+		func() error { s.Restore("c"); return nil },
+		func() error { s.Target("a1").SetFault(upstream.Fault{}); return nil },
+		func() error { return s.Platform.SetFaults(platform.Faults{}) },
+	}
+	r, err := s.run(ctx, time.Duration(len(steps)+2)*step, s.sources(0.5, 2, entries...), func(ctx context.Context) error {
+		for _, do := range steps {
+			var err error
+			after(ctx, step, func() { err = do() })
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if r.Share(load.Answer.OK) < 0.5 || r.Count(failed) == 0 {
+		return nil, NothingError{Text: fmt.Sprintf("the faults had no effect or too much: %d of %d requests failed", r.Count(failed), len(r.Answers()))}
+	}
+	f := history.Check(r.Calls(), s.executions())
+	return map[string]float64{
+		"doubled": float64(len(f.Doubled)), "lost_answers": float64(len(f.Lost)),
+		"crossed_answers": float64(len(f.Crossed)), "false_not_run": float64(len(f.FalseNotRun)),
+	}, nil
+}
--- /dev/null
+++ b/measure/scenario/probe.go
@@ -0,0 +1,39 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"verbenapin.dev/measure/deployment"
+)
+
+// probe measures the share of a target's time that probes take while there is no traffic, the worst case for probing.
+func probe() Scenario {
+	return Scenario{
+		Name:  "probe",
+		Specs: []Spec{{Name: "probe_share", Unit: "share", Bound: bound(0.005), Note: "largest of all targets, without traffic"}},
+		Run:   runProbe,
+	}
+}
+
+func runProbe(ctx context.Context, b Bench) (map[string]float64, error) {
+	s, err := b.setUp(ctx, "probe", deployment.Abitudini().WithTargets(3, "history"), false)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	before := map[string]time.Duration{}
+	for _, n := range s.Nodes() {
+		before[n.Name] = s.Target(n.Name).Report().Probing
+	}
+	start := time.Now()
+	worst := 0.0
+	// The length is a multiple of the 1.2 s between two probes within the budget, so that one more or less is no excess.
+	after(ctx, b.lasts(6*time.Second, 24*time.Second), func() {
+		for _, n := range s.Nodes() {
+			spent := s.Target(n.Name).Report().Probing - before[n.Name]
+			worst = max(worst, float64(spent)/float64(time.Since(start)))
+		}
+	})
+	return map[string]float64{"probe_share": worst}, ctx.Err()
+}
--- /dev/null
+++ b/measure/scenario/read.go
@@ -0,0 +1,62 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"verbenapin.dev/measure/deployment"
+	"verbenapin.dev/measure/load"
+	"verbenapin.dev/measure/report"
+	"verbenapin.dev/measure/upstream"
+)
+
+// read measures the tail latency of reads while one of seven targets is eight times slower than usual.
+func read() Scenario {
+	return Scenario{
+		Name: "read", Alone: true, Naive: robin,
+		Specs: []Spec{{Name: "read_p99_ms", Unit: "ms"}, {Name: "read_p999_ms", Unit: "ms"}},
+		Run:   runRead,
+	}
+}
+
+func runRead(ctx context.Context, b Bench) (map[string]float64, error) {
+	s, err := b.setUp(ctx, "read", deployment.Abitudini().WithTargets(7, "history"), false)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	// Seven targets with 12 slots and 40 ms a request serve 2,100 requests a second; the load is about 1,100.
+	sources := s.sources(0.8, 8)
+	if _, err := s.run(ctx, time.Second, sources, nil); err != nil {
+		return nil, err
+	}
+	length := b.lasts(3*time.Second, 20*time.Second)
+	r, err := s.run(ctx, length, sources, func(ctx context.Context) error {
+		after(ctx, length/4, func() { s.Target("a1").SetFault(upstream.Fault{Slow: 8}) })
+		return ctx.Err()
+	})
+	if err != nil {
+		return nil, err
+	}
+	if path, ok := b.plot("read"); ok {
+		curves := map[string]*hdrhistogram.Histogram{}
+		for _, name := range []string{"lombardia", "lazio", "veneto"} {
+			curves[name] = r.Account(name).Latency()
+		}
+		if err := report.PlotLatency(path, curves); err != nil {
+			return nil, err
+		}
+	}
+	return quantiles(r, "read_p99_ms", "read_p999_ms"), nil
+}
+
+// quantiles counts errors as the longest latency, so that a policy which refuses early gains nothing.
+func quantiles(r load.Result, p99, p999 string) map[string]float64 {
+	h := r.Latency()
+	for range r.Count(failed) {
+		_ = h.RecordValue(timeout.Microseconds())
+	}
+	return map[string]float64{p99: float64(h.ValueAtQuantile(99)) / 1000, p999: float64(h.ValueAtQuantile(99.9)) / 1000}
+}
--- /dev/null
+++ b/measure/scenario/refusals.go
@@ -0,0 +1,37 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"verbenapin.dev/measure/deployment"
+	"verbenapin.dev/measure/history"
+)
+
+// refusals measures the requests refused for their rate although their account is within it.
+// All requests enter at one node, the case in which a fixed split of the rates refuses most of them.
+func refusals() Scenario {
+	return Scenario{
+		Name: "refusals", Naive: split,
+		Specs: []Spec{{Name: "wrongful_refusals", Unit: "share", Note: "of all requests; accounts send 0.8 of their rates through one node"}},
+		Run:   runRefusals,
+	}
+}
+
+func runRefusals(ctx context.Context, b Bench) (map[string]float64, error) {
+	d := deployment.ChueDee().WithTargets(3, "shortlists")
+	s, err := b.setUp(ctx, "refusals", d, false)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	r, err := s.run(ctx, b.lasts(3*time.Second, 15*time.Second), s.sources(0.8, 1, s.Entry("a1")), nil)
+	if err != nil {
+		return nil, err
+	}
+	wrongful := 0
+	for _, a := range d.Accounts() {
+		wrongful += len(history.Wrongful(a.Rate, a.Burst, r.Account(a.Name).Calls()))
+	}
+	return map[string]float64{"wrongful_refusals": float64(wrongful) / float64(max(1, len(r.Answers())))}, nil
+}
--- /dev/null
+++ b/measure/scenario/run.go
@@ -0,0 +1,117 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"verbenapin.dev/measure/report"
+)
+
+const (
+	// quickLimit and fullLimit end a run; scenarios that have not ended by then are reported as not measured.
+	quickLimit = 57 * time.Second
+	fullLimit  = 7*time.Minute + 45*time.Second
+	// parallel and fullParallel are the numbers of jobs that run at once, in quick and in full runs, if they measure no times.
+	parallel     = 5
+	fullParallel = 2
+)
+
+// Run runs the scenarios and returns the figures of all, also of those that failed.
+func (b Bench) Run(ctx context.Context, scenarios []Scenario) []report.Figure {
+	ctx, cancel := context.WithTimeout(ctx, b.lasts(quickLimit, fullLimit))
+	defer cancel()
+	outcomes := make([]outcome, len(jobs(scenarios)))
+	for i, j := range jobs(scenarios) {
+		if j.scenario.Alone {
+			outcomes[i] = b.measure(ctx, j)
+		}
+	}
+	// Both policies of a scenario may run at once, since each has a fleet of its own.
+	places := make(chan struct{}, parallel)
+	if !b.Quick {
+		places = make(chan struct{}, fullParallel)
+	}
+	var all sync.WaitGroup
+	for i, j := range jobs(scenarios) {
+		if j.scenario.Alone {
+			continue
+		}
+		places <- struct{}{}
+		all.Go(func() {
+			defer func() { <-places }()
+			outcomes[i] = b.measure(ctx, j)
+		})
+	}
+	all.Wait()
+	return figures(jobs(scenarios), outcomes)
+}
+
+// job is one run of a scenario under one policy.
+type job struct {
+	scenario Scenario
+	policy   string
+}
+
+// outcome is what a job has measured.
+type outcome struct {
+	values map[string]float64
+	err    error
+}
+
+// jobs returns the runs of all scenarios, the own policy before the naive one.
+func jobs(scenarios []Scenario) []job {
+	var list []job
+	for _, s := range scenarios {
+		list = append(list, job{scenario: s})
+		if s.Naive != "" {
+			list = append(list, job{scenario: s, policy: s.Naive})
+		}
+	}
+	return list
+}
+
+func (b Bench) measure(ctx context.Context, j job) outcome {
+	start := time.Now()
+	dir, policy := "own", "own policy"
+	if j.policy != "" {
+		dir, policy = "naive", j.policy
+	}
+	values, err := j.scenario.Run(ctx, b.WithDir(filepath.Join(b.Dir, dir)).WithPolicy(j.policy))
+	_, _ = fmt.Fprintf(b.Out, "%s, %s: %.1f s\n", j.scenario.Name, policy, time.Since(start).Seconds())
+	return outcome{values: values, err: err}
+}
+
+func figures(list []job, outcomes []outcome) []report.Figure {
+	var all []report.Figure
+	for i, j := range list {
+		if j.policy != "" {
+			continue
+		}
+		var naive outcome
+		if j.scenario.Naive != "" {
+			naive = outcomes[i+1]
+		}
+		for _, spec := range j.scenario.Specs {
+			all = append(all, spec.figure(outcomes[i].values, outcomes[i].err, naive.values, naive.err))
+		}
+	}
+	return all
+}
+
+func (s Spec) figure(own map[string]float64, err error, naive map[string]float64, naiveErr error) report.Figure {
+	v, ok := own[s.Name]
+	if err != nil || !ok {
+		return report.NewMissing(s.Name, s.Unit, fmt.Sprintf("not measured: %v", err)).WithBound(s.Bound)
+	}
+	f := report.NewFigure(s.Name, v, s.Unit).WithNote(s.Note).WithBound(s.Bound)
+	if v, ok := naive[s.Name]; ok && naiveErr == nil {
+		f = f.WithNaive(v)
+	}
+	if naiveErr != nil {
+		f = f.WithNote(fmt.Sprintf("%s; naive policy not measured: %v", s.Note, naiveErr))
+	}
+	return f
+}
--- /dev/null
+++ b/measure/scenario/scenario.go
@@ -0,0 +1,162 @@
+// Package scenario measures the system under load and faults; each scenario has its own fleet, load, fault and figures.
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"verbenapin.dev/measure/deployment"
+	"verbenapin.dev/measure/fleet"
+	"verbenapin.dev/measure/load"
+)
+
+const (
+	// timeout bounds a request; it is longer than the longest deadline of ordinary routes.
+	timeout = 10 * time.Second
+	// warmWithin bounds the wait until a fresh fleet admits requests: homes lend tokens only after 7 s in the worst case.
+	warmWithin = 20 * time.Second
+)
+
+// Policies of nodes; the own policy is the empty one.
+const (
+	robin = "VERBENAPIN_POLICY=robin"
+	open  = "VERBENAPIN_POLICY=open"
+	split = "VERBENAPIN_RATES=split"
+)
+
+// Spec names a figure and its bound from the stated targets, if there is one.
+type Spec struct {
+	Name  string
+	Unit  string
+	Bound *float64
+	Note  string
+}
+
+// Scenario is one measurement.
+type Scenario struct {
+	Name  string
+	Alone bool   // measures times, so nothing else may run
+	Naive string // setting of the naive policy, empty if there is none
+	Specs []Spec
+	Run   func(ctx context.Context, b Bench) (map[string]float64, error)
+}
+
+// All returns all scenarios in the order in which they run.
+func All() []Scenario {
+	return []Scenario{
+		added(), read(), evacuation(), faults(), spread(), control(), probe(), cold(), fairness(), refusals(), admission(), withdrawal(), shutdown(),
+	}
+}
+
+// Bench is what a scenario runs with.
+type Bench struct {
+	Binary string
+	Dir    string
+	Plots  string // directory for plots, empty for none
+	Quick  bool
+	Out    io.Writer
+	policy string
+}
+
+// WithPolicy returns b with another policy of the nodes.
+func (b Bench) WithPolicy(setting string) Bench {
+	b.policy = setting
+	return b
+}
+
+// WithDir returns b with another directory.
+func (b Bench) WithDir(dir string) Bench {
+	b.Dir = dir
+	return b
+}
+
+// lasts returns a duration for quick or for full runs.
+func (b Bench) lasts(quick, full time.Duration) time.Duration {
+	if b.Quick {
+		return quick
+	}
+	return full
+}
+
+// plot returns the path of a plot, or false if none is to be drawn; only the own policy's run draws.
+func (b Bench) plot(name string) (string, bool) {
+	return filepath.Join(b.Plots, name+".svg"), b.Plots != "" && b.policy == ""
+}
+
+// site is a fleet with a caller, ready for load.
+type site struct {
+	*fleet.Fleet
+	deployment deployment.Deployment
+	caller     load.Caller
+	sent       *atomic.Int64 // numbers requests, so that their ids are unique
+	label      string
+}
+
+// NothingError reports a scenario whose condition did not occur, so that its figures would say nothing.
+type NothingError struct{ Text string }
+
+func (e NothingError) Error() string { return "scenario: " + e.Text }
+
+// setUp starts a fleet and waits until every node admits requests of every account.
+func (b Bench) setUp(ctx context.Context, label string, d deployment.Deployment, direct bool) (site, error) {
+	settings := fleet.Settings{Binary: b.Binary, Dir: filepath.Join(b.Dir, label), Deployment: d, Direct: direct}
+	if b.policy != "" {
+		settings.Env = []string{b.policy}
+	}
+	f, err := fleet.Start(ctx, settings)
+	if err != nil {
+		return site{}, fmt.Errorf("scenario: setting up %s: %w", label, err)
+	}
+	s := site{Fleet: f, deployment: d, caller: load.NewCaller(timeout), sent: &atomic.Int64{}, label: label}
+	if err := s.warm(ctx); err != nil {
+		s.close()
+		return site{}, err
+	}
+	return s, nil
+}
+
+// close ends the fleet.
+func (s site) close() {
+	s.Close()
+	s.caller.Close()
+}
+
+// warm waits until one request of each account was served at each entry.
+func (s site) warm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, warmWithin)
+	defer cancel()
+	for _, a := range s.deployment.Accounts() {
+		t := s.traffic(a, 1)
+		if len(t.routes) == 0 {
+			continue
+		}
+		for _, entry := range s.Entries() {
+			var last load.Answer
+			err := fleet.Await(ctx, func() bool {
+				last = s.caller.Do(ctx, entry, t.next(0), time.Now())
+				return last.OK()
+			})
+			if err != nil {
+				return fmt.Errorf("scenario: %s serves no request of %s at %s: status %d, code %q: %w", s.label, a.Name, entry, last.Status, last.Code, err)
+			}
+		}
+	}
+	return nil
+}
+
+// after runs do on the calling goroutine once d has passed, unless ctx ends first.
+func after(ctx context.Context, d time.Duration, do func()) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		do()
+	case <-ctx.Done():
+	}
+}
+
+func bound(v float64) *float64 { return &v }
--- /dev/null
+++ b/measure/scenario/traffic.go
@@ -0,0 +1,128 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"verbenapin.dev/measure/deployment"
+	"verbenapin.dev/measure/history"
+	"verbenapin.dev/measure/load"
+)
+
+// seed makes arrivals and the choice of entries repeatable.
+const seed = 20261204
+
+// traffic produces the requests of one account.
+type traffic struct {
+	site    site
+	account deployment.Account
+	routes  []deployment.Route
+	cost    float64
+	bytes   int
+}
+
+// traffic returns requests of the given cost to all routes of an account whose services run.
+func (s site) traffic(a deployment.Account, cost float64) traffic {
+	t := traffic{site: s, account: a, cost: cost}
+	for _, r := range s.deployment.Routes() {
+		runs := slices.ContainsFunc(s.deployment.Services(), func(v deployment.Service) bool { return v.Name == r.Service })
+		if runs && slices.Contains(a.Routes, r.Name) {
+			t.routes = append(t.routes, r)
+		}
+	}
+	return t
+}
+
+// WithRoutes returns t with only the given routes.
+func (t traffic) WithRoutes(names ...string) traffic {
+	var routes []deployment.Route
+	for _, r := range t.routes {
+		if slices.Contains(names, r.Name) {
+			routes = append(routes, r)
+		}
+	}
+	t.routes = routes
+	return t
+}
+
+// WithBytes returns t with large responses.
+func (t traffic) WithBytes(n int) traffic {
+	t.bytes = n
+	return t
+}
+
+// next returns a read for an idempotent route and a write for another one; ids are unique within a site.
+func (t traffic) next(int) load.Request {
+	n := t.site.sent.Add(1)
+	route := t.routes[rand.IntN(len(t.routes))] //nolint:gosec // no secret depends on it
+	r := load.Request{
+		ID: fmt.Sprintf("%s-%d", t.site.label, n), Account: t.account.Name, Host: t.site.deployment.Host,
+		Path: fmt.Sprintf("%s/%d?cost=%g", route.Path, n, t.cost), Method: "GET", Idempotent: route.Idempotent,
+	}
+	if len(t.account.Keys) > 0 {
+		r.Key = t.account.Keys[0]
+	}
+	if t.bytes > 0 {
+		r.Path += fmt.Sprintf("&bytes=%d", t.bytes)
+	}
+	if !route.Idempotent {
+		r.Method, r.Body = "POST", fmt.Sprintf(`{"n":%d}`, n)
+	}
+	return r
+}
+
+// source sends the requests at a rate to the given entries, or to all.
+func (t traffic) source(rate float64, entries ...string) load.Source {
+	if len(entries) == 0 {
+		entries = t.site.Entries()
+	}
+	return load.Source{Rate: rate, Entries: entries, Next: t.next}
+}
+
+// sources returns the traffic of all accounts, each at a share of its rate.
+func (s site) sources(share, cost float64, entries ...string) []load.Source {
+	var list []load.Source
+	for _, a := range s.deployment.Accounts() {
+		if t := s.traffic(a, cost); len(t.routes) > 0 {
+			list = append(list, t.source(share*a.Rate, entries...))
+		}
+	}
+	return list
+}
+
+// run sends load and meanwhile runs the given steps on the calling goroutine.
+func (s site) run(ctx context.Context, length time.Duration, sources []load.Source, steps func(ctx context.Context) error) (load.Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan load.Result, 1)
+	go func() { done <- s.caller.Run(ctx, load.Plan{Sources: sources, For: length, Seed: seed}) }()
+	var err error
+	if steps != nil {
+		if err = steps(ctx); err != nil {
+			cancel()
+		}
+	}
+	r := <-done
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err == nil && r.Skipped() > 0 {
+		err = fmt.Errorf("scenario: %s: %d arrivals were not sent, too many requests were outstanding", s.label, r.Skipped())
+	}
+	return r, err
+}
+
+// executions returns what targets ran, as part of a history.
+func (s site) executions() []history.Execution {
+	var list []history.Execution
+	for _, e := range s.Executions("") {
+		list = append(list, history.Execution{ID: e.ID, At: e.At})
+	}
+	return list
+}
+
+// failed tells whether an answer is an error for its caller; refusals for the rate are not.
+func failed(a load.Answer) bool { return !a.OK() && a.Code != "rate" }
--- /dev/null
+++ b/measure/scenario/withdrawal.go
@@ -0,0 +1,53 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"verbenapin.dev/measure/deployment"
+)
+
+// withdrawal measures how long a withdrawn key is still accepted, on connections that stay open.
+func withdrawal() Scenario {
+	return Scenario{
+		Name:  "withdrawal",
+		Specs: []Spec{{Name: "withdrawn_key_s", Unit: "s", Bound: bound(8), Note: "the bound is that for a configuration change"}},
+		Run:   runWithdrawal,
+	}
+}
+
+func runWithdrawal(ctx context.Context, b Bench) (map[string]float64, error) {
+	const account = "lombardia"
+	d := deployment.Abitudini().WithTargets(3, "history")
+	s, err := b.setUp(ctx, "withdrawal", d, false)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	length := b.lasts(3*time.Second, 10*time.Second)
+	var published time.Time
+	r, err := s.run(ctx, length, s.sources(0.4, 1), func(ctx context.Context) error {
+		var err error
+		after(ctx, length/4, func() {
+			published = time.Now()
+			err = s.Publish(d.WithKeys(account, deployment.NewKey(account, 2)))
+		})
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	last, refused := published, 0
+	for _, a := range r.Account(account).Answers() {
+		if a.OK() && a.Started.After(last) {
+			last = a.Started
+		}
+		if a.Code == "key" {
+			refused++
+		}
+	}
+	if refused == 0 {
+		return nil, NothingError{Text: "the withdrawn key was accepted until the end of the run"}
+	}
+	return map[string]float64{"withdrawn_key_s": last.Sub(published).Seconds()}, nil
+}
