--- /dev/null
+++ b/ctl/declare/show.go
@@ -0,0 +1,27 @@
+package declare
+
+import (
+	"fmt"
+
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/operator/report"
+)
+
+// UnknownError reports a name that is no concrete route or account of a tree.
+type UnknownError struct {
+	Kind config.Kind
+	Name string
+}
+
+func (e UnknownError) Error() string {
+	return fmt.Sprintf("declare: %s: no entry %q, or it is only a parent of others", e.Kind, e.Name)
+}
+
+// Show returns the values of a route or account with their origins.
+func Show(t config.Tree, kind config.Kind, name string) ([]report.Value, error) {
+	values, ok := report.Values(t, kind, name)
+	if !ok {
+		return nil, UnknownError{Kind: kind, Name: name}
+	}
+	return values, nil
+}
