Pack trees with the node's own package

Use config.Pack, which validates the tree, and test that nodes read the same deadlines, rates and routes from it; read a node's state as its own type. A child that ignores SIGTERM now shows it.

--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -4,7 +4,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -12,6 +11,7 @@
 	"time"
 
 	"verbenapin.dev/measure/upstream"
+	"verbenapin.dev/node/config"
 )
 
 // Domains are the failure domains of a deployment.
@@ -212,25 +212,15 @@
 	return []byte(b.String())
 }
 
-type manifest struct {
-	Version int64  `json:"version"`
-	Parts   []part `json:"parts"`
-}
-
-type part struct {
-	Name   string `json:"name"`
-	Sha256 string `json:"sha256"`
-}
-
-// Pack returns the manifest of a version and its parts by name.
+// Pack validates the tree and returns the manifest of a version and its parts by the names of their values.
 func (d Deployment) Pack(version int64) ([]byte, map[string][]byte, error) {
-	data := d.YAML()
-	sum := sha256.Sum256(data)
-	digest := hex.EncodeToString(sum[:])
-	name := "part-" + digest
-	m, err := json.Marshal(manifest{Version: version, Parts: []part{{Name: name, Sha256: digest}}})
+	m, parts, err := config.Pack(version, []config.File{{Name: d.Name + ".yaml", Data: d.YAML()}})
 	if err != nil {
-		return nil, nil, fmt.Errorf("deployment: encoding the manifest: %w", err)
+		return nil, nil, fmt.Errorf("deployment: packing %s: %w", d.Name, err)
+	}
+	values := make(map[string][]byte, len(parts))
+	for digest, data := range parts {
+		values["part-"+digest.String()] = data
 	}
-	return m, map[string][]byte{name: data}, nil
+	return m.Bytes(), values, nil
 }
--- a/measure/deployment/deployment_test.go
+++ b/measure/deployment/deployment_test.go
@@ -1,13 +1,14 @@
 package deployment
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+
+	"verbenapin.dev/node/config"
 )
 
 // TestMain guards against goroutines that outlive a test.
@@ -37,17 +38,44 @@
 	}
 }
 
-// TestPack guards against a manifest whose digests don't match its parts.
+// TestPack guards against a tree that nodes reject, and against inherited or own values that differ from the deployment's.
 func TestPack(t *testing.T) {
-	data, parts, err := Abitudini().Pack(7)
-	require.NoError(t, err)
-	var m manifest
-	require.NoError(t, json.Unmarshal(data, &m))
-	require.Equal(t, int64(7), m.Version)
-	require.Len(t, m.Parts, len(parts))
-	for _, p := range m.Parts {
-		sum := sha256.Sum256(parts[p.Name])
-		require.Equal(t, hex.EncodeToString(sum[:]), p.Sha256)
-		require.Equal(t, "part-"+p.Sha256, p.Name)
+	cases := map[string]struct {
+		deployment     Deployment
+		accounts       int
+		account, route string
+		rate           float64
+		mayNot         string
+		deadline       time.Duration
+		domains        []string
+	}{
+		"abitudini": {deployment: Abitudini().WithOut("b"), accounts: 8, account: "lombardia", route: "exports", rate: 600, mayNot: "settings", deadline: 30 * time.Second, domains: []string{"b"}},
+		"chue dee":  {deployment: ChueDee(), accounts: 8, account: "checker", route: "conflicts", rate: 150, mayNot: "reservations", deadline: 2 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			data, values, err := tc.deployment.Pack(7)
+			require.NoError(t, err)
+			m, err := config.ParseManifest(data)
+			require.NoError(t, err)
+			parts := map[config.Digest][]byte{}
+			for _, d := range m.Digests() {
+				parts[d] = values["part-"+d.String()]
+			}
+			tree, err := config.Build(m, parts)
+			require.NoError(t, err)
+			require.Equal(t, int64(7), tree.Version())
+			require.Equal(t, tc.domains, tree.Fleet().Out)
+			a, ok := tree.Authenticate(config.DigestOf(NewKey(tc.account, 1)))
+			require.True(t, ok)
+			require.Equal(t, tc.rate, a.Rate)
+			require.True(t, a.Allows(tc.route))
+			require.False(t, a.Allows(tc.mayNot))
+			r, ok := tree.Match(tc.deployment.Host, "/"+tc.route+"/1")
+			require.True(t, ok)
+			require.Equal(t, tc.deadline, r.Deadline)
+			clients := slices.DeleteFunc(tree.Accounts(), func(a config.Account) bool { return len(a.Keys) == 0 })
+			require.Len(t, clients, tc.accounts)
+		})
 	}
 }
--- a/measure/fleet/fleet_test.go
+++ b/measure/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -108,7 +109,7 @@
 	<-ended
 }
 
-// TestProcess guards against a child that survives: one that runs, one that is paused, and one that has already ended.
+// TestProcess guards against a child that survives: one that runs, is paused, ignores SIGTERM or has already ended.
 func TestProcess(t *testing.T) {
 	cases := map[string]struct {
 		args []string
@@ -118,6 +119,12 @@
 		"paused": {args: []string{"-c", "exec sleep 60"}, act: func(t *testing.T, p *Process) {
 			require.NoError(t, p.Signal(syscall.SIGSTOP))
 		}},
+		"ignores SIGTERM": {args: []string{"-c", "trap '' TERM; echo ready; exec sleep 60"}, act: func(t *testing.T, p *Process) {
+			require.Eventually(t, func() bool {
+				data, err := os.ReadFile(p.log.Name())
+				return err == nil && string(data) == "ready\n"
+			}, 10*time.Second, time.Millisecond)
+		}},
 		"ended": {args: []string{"-c", "exit 3"}, act: func(t *testing.T, p *Process) {
 			code, err := p.Wait(10 * time.Second)
 			require.NoError(t, err)
--- a/measure/fleet/state.go
+++ b/measure/fleet/state.go
@@ -9,20 +9,16 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"verbenapin.dev/node/operator/report"
 )
 
 // ticks is the kernel's unit of process times, in ticks a second.
 const ticks = 100
 
-// State is the part of a node's state that measurements read.
-type State struct {
-	Version int64  `json:"version"`
-	Verdict string `json:"verdict"`
-}
-
 // State returns the state that a node reports.
-func (f *Fleet) State(ctx context.Context, name string) (State, error) {
-	var s State
+func (f *Fleet) State(ctx context.Context, name string) (report.State, error) {
+	var s report.State
 	err := f.get(ctx, name, "/state", &s)
 	return s, err
 }
