Set fleets up apart from load, and ramp up before measuring

The runner now sets up the fleets of the scenarios that run alone at once, a cancelled run ends its requests at once, loads ramp up before they are measured, and each run prints its answers by kind.

--- a/measure/load/generator.go
+++ b/measure/load/generator.go
@@ -28,7 +28,7 @@
 	Seed    uint64
 }
 
-// Run sends the requests of a plan and returns when all are answered; a cancelled ctx ends the arrivals.
+// Run sends the requests of a plan and returns when all are answered; a cancelled ctx ends it at once.
 func (c Caller) Run(ctx context.Context, p Plan) Result {
 	results := make([]Result, len(p.Sources))
 	var all sync.WaitGroup
@@ -84,8 +84,7 @@
 		request, entry, intended := s.Next(n), s.Entries[random.IntN(len(s.Entries))], next
 		sent.Go(func() {
 			defer func() { <-places }()
-			// Arrivals end with ctx, requests that were sent are still awaited; the client's timeout bounds them.
-			answered <- c.Do(context.WithoutCancel(ctx), entry, request, intended)
+			answered <- c.Do(ctx, entry, request, intended)
 		})
 	}
 	sent.Wait()
--- a/measure/load/result.go
+++ b/measure/load/result.go
@@ -1,7 +1,10 @@
 package load
 
 import (
+	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -67,6 +70,26 @@
 	return float64(r.Count(keep)) / float64(len(r.answers))
 }
 
+// Summary returns the numbers of answers by their kind.
+func (r Result) Summary() string {
+	kinds := map[string]int{}
+	for _, a := range r.answers {
+		switch {
+		case a.Err != nil:
+			kinds["broken"]++
+		case a.Code != "":
+			kinds[a.Code]++
+		default:
+			kinds[strconv.Itoa(a.Status)]++
+		}
+	}
+	text := fmt.Sprintf("%d answers", len(r.answers))
+	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+		text += fmt.Sprintf(", %s %d", kind, kinds[kind])
+	}
+	return text
+}
+
 // Calls returns the answers as a history.
 func (r Result) Calls() []history.Call {
 	calls := make([]history.Call, len(r.answers))
--- a/measure/main.go
+++ b/measure/main.go
@@ -128,7 +128,9 @@
 	if len(c.Only) > 0 {
 		scenarios = slices.DeleteFunc(scenarios, func(s scenario.Scenario) bool { return !slices.Contains(c.Only, s.Name) })
 	}
-	figures := scenario.Bench{Binary: binary, Dir: dir, Plots: c.Plots, Quick: c.Quick, Out: os.Stderr}.Run(c.ctx, scenarios)
+	bench := scenario.NewBench(binary, dir, os.Stderr)
+	bench.Plots, bench.Quick = c.Plots, c.Quick
+	figures := bench.Run(c.ctx, scenarios)
 	bad := 0
 	for _, f := range figures {
 		fmt.Println(f.Line())
--- a/measure/scenario/added.go
+++ b/measure/scenario/added.go
@@ -15,6 +15,7 @@
 func added() Scenario {
 	return Scenario{
 		Name: "added", Alone: true, Naive: robin,
+		Deployment: deployment.Abitudini().WithCount("history", 1).WithCount("checkins", 2).WithCount("exports", 1), Direct: true,
 		Specs: []Spec{
 			{Name: "added_p50_ms", Unit: "ms"},
 			{Name: "added_p99_ms", Unit: "ms", Bound: bound(0.68)},
@@ -23,22 +24,18 @@
 	}
 }
 
-func runAdded(ctx context.Context, b Bench) (map[string]float64, error) {
-	// The only target of the route is beside a1, and a2 in the same domain is the entry.
-	d := deployment.Abitudini().WithCount("history", 1).WithCount("checkins", 2).WithCount("exports", 1)
-	s, err := b.setUp(ctx, "added", d, true)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runAdded(ctx context.Context, b Bench, s site) (map[string]float64, error) {
+	d := s.deployment
 	const rate = 150
+	// The only target of the route is beside a1, and a2 in the same domain is the entry.
 	// A cost this small keeps the spread of the service time below the latency that is measured.
 	t := s.traffic(d.Account("lombardia"), 0.02).WithRoutes("history")
 	through, straight := t.source(rate, s.Entry("a2")), t.source(rate, s.Node("a1").Target)
-	if _, err := s.run(ctx, time.Second, []load.Source{through, straight}, nil); err != nil {
+	sources := []load.Source{through, straight}
+	if err := s.ramp(ctx, b, sources); err != nil {
 		return nil, err
 	}
-	r, err := s.run(ctx, b.lasts(3*time.Second, 15*time.Second), []load.Source{through, straight}, nil)
+	r, err := s.run(ctx, b.lasts(3*time.Second, 15*time.Second), sources, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/measure/scenario/admission.go
+++ b/measure/scenario/admission.go
@@ -13,19 +13,15 @@
 // at all nodes and one node, which holds tokens, is paused for longer than its tokens last.
 func admission() Scenario {
 	return Scenario{
-		Name:  "admission",
-		Specs: []Spec{{Name: "over_admission", Unit: "requests", Bound: bound(0), Note: "largest excess of any account in any interval"}},
-		Run:   runAdmission,
+		Name:       "admission",
+		Deployment: deployment.ChueDee().WithTargets(4, "shortlists"),
+		Specs:      []Spec{{Name: "over_admission", Unit: "requests", Bound: bound(0), Note: "largest excess of any account in any interval"}},
+		Run:        runAdmission,
 	}
 }
 
-func runAdmission(ctx context.Context, b Bench) (map[string]float64, error) {
-	d := deployment.ChueDee().WithTargets(4, "shortlists")
-	s, err := b.setUp(ctx, "admission", d, false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runAdmission(ctx context.Context, b Bench, s site) (map[string]float64, error) {
+	d := s.deployment
 	length := b.lasts(4*time.Second, 12*time.Second)
 	r, err := s.run(ctx, length, s.sources(3, 1), func(ctx context.Context) error {
 		var err error
--- a/measure/scenario/cold.go
+++ b/measure/scenario/cold.go
@@ -11,20 +11,20 @@
 func cold() Scenario {
 	return Scenario{
 		Name: "cold", Naive: open,
-		Specs: []Spec{{Name: "cold_excess", Unit: "requests", Bound: bound(0), Note: "after a restart of the target"}},
-		Run:   runCold,
+		Deployment: deployment.Abitudini().WithTargets(3, "history"),
+		Specs:      []Spec{{Name: "cold_excess", Unit: "requests", Bound: bound(0), Note: "after a restart of the target"}},
+		Run:        runCold,
 	}
 }
 
-func runCold(ctx context.Context, b Bench) (map[string]float64, error) {
-	s, err := b.setUp(ctx, "cold", deployment.Abitudini().WithTargets(3, "history"), false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runCold(ctx context.Context, b Bench, s site) (map[string]float64, error) {
 	// Three targets serve 900 requests a second at this cost, two of them 600; the load is about 500.
 	length := b.lasts(4*time.Second, 10*time.Second)
-	_, err = s.run(ctx, length, s.sources(0.36, 8), func(ctx context.Context) error {
+	sources := s.sources(0.36, 8)
+	if err := s.ramp(ctx, b, sources); err != nil {
+		return nil, err
+	}
+	_, err := s.run(ctx, length, sources, func(ctx context.Context) error {
 		after(ctx, length/5, func() { s.KillTarget("b1") })
 		var err error
 		after(ctx, 200*time.Millisecond, func() { err = s.StartColdTarget("b1") })
--- a/measure/scenario/control.go
+++ b/measure/scenario/control.go
@@ -11,7 +11,8 @@
 func control() Scenario {
 	const note = "without traffic; the bound is that at 1,200 nodes"
 	return Scenario{
-		Name: "control",
+		Name:       "control",
+		Deployment: deployment.Abitudini(), Small: true,
 		Specs: []Spec{
 			{Name: "control_cpu_share", Unit: "cores", Bound: bound(0.011), Note: note},
 			{Name: "control_rss_mb", Unit: "MB", Bound: bound(32), Note: note},
@@ -21,21 +22,14 @@
 	}
 }
 
-func runControl(ctx context.Context, b Bench) (map[string]float64, error) {
-	d := deployment.Abitudini()
-	if b.Quick {
-		d = d.WithTargets(3)
-	}
-	s, err := b.setUp(ctx, "control", d, false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runControl(ctx context.Context, b Bench, s site) (map[string]float64, error) {
 	cpu := map[string]time.Duration{}
 	for _, n := range s.Nodes() {
-		if cpu[n.Name], err = s.CPU(n.Name); err != nil {
+		used, err := s.CPU(n.Name)
+		if err != nil {
 			return nil, err
 		}
+		cpu[n.Name] = used
 	}
 	start, bytes := time.Now(), s.ControlBytes()
 	after(ctx, b.lasts(4*time.Second, 30*time.Second), func() {})
--- a/measure/scenario/evacuation.go
+++ b/measure/scenario/evacuation.go
@@ -17,6 +17,7 @@
 func evacuation() Scenario {
 	return Scenario{
 		Name: "evacuation", Naive: robin,
+		Deployment: deployment.Abitudini().WithTargets(3, "history", "checkins"),
 		Specs: []Spec{
 			{Name: "evacuation_s", Unit: "s", Bound: bound(8), Note: "the bound is that for a configuration change"},
 			{Name: "evacuation_errors", Unit: "requests", Bound: bound(0)},
@@ -26,19 +27,18 @@
 	}
 }
 
-func runEvacuation(ctx context.Context, b Bench) (map[string]float64, error) {
-	d := deployment.Abitudini().WithTargets(3, "history", "checkins")
-	s, err := b.setUp(ctx, "evacuation", d, false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runEvacuation(ctx context.Context, b Bench, s site) (map[string]float64, error) {
+	d := s.deployment
 	// Callers use the nodes of the domains that stay, as operators take a domain's addresses away from callers first.
 	entries := s.Entries("a", "c")
 	part := b.lasts(2*time.Second, 10*time.Second)
+	sources := s.sources(0.3, 4, entries...)
+	if err := s.ramp(ctx, b, sources); err != nil {
+		return nil, err
+	}
 	start := time.Now()
 	var out, back time.Time
-	r, err := s.run(ctx, 3*part, s.sources(0.3, 4, entries...), func(ctx context.Context) error {
+	r, err := s.run(ctx, 3*part, sources, func(ctx context.Context) error {
 		var err error
 		after(ctx, part/2, func() {
 			out = time.Now()
--- a/measure/scenario/fairness.go
+++ b/measure/scenario/fairness.go
@@ -16,18 +16,14 @@
 func fairness() Scenario {
 	return Scenario{
 		Name: "fairness", Naive: open,
-		Specs: []Spec{{Name: "worst_account_share", Unit: "share", Note: "served share of the worst-served account that is within its rate"}},
-		Run:   runFairness,
+		Deployment: deployment.ChueDee().WithTargets(3, "shortlists"),
+		Specs:      []Spec{{Name: "worst_account_share", Unit: "share", Note: "served share of the worst-served account that is within its rate"}},
+		Run:        runFairness,
 	}
 }
 
-func runFairness(ctx context.Context, b Bench) (map[string]float64, error) {
-	d := deployment.ChueDee().WithTargets(3, "shortlists")
-	s, err := b.setUp(ctx, "fairness", d, false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runFairness(ctx context.Context, b Bench, s site) (map[string]float64, error) {
+	d := s.deployment
 	// Three targets with 9 slots and 48 ms a request serve 560 requests a second; about 650 are within the rates.
 	// A fair share is 94 for each account and 185 for the two large ones, so all but the noisy one can be served in full.
 	var sources []load.Source
@@ -42,6 +38,9 @@
 		}
 		sources = append(sources, t.source(rate))
 	}
+	if err := s.ramp(ctx, b, sources); err != nil {
+		return nil, err
+	}
 	r, err := s.run(ctx, b.lasts(3*time.Second, 15*time.Second), sources, nil)
 	if err != nil {
 		return nil, err
--- a/measure/scenario/faults.go
+++ b/measure/scenario/faults.go
@@ -15,7 +15,8 @@
 // faults checks the history of a run in which nodes and targets are killed and paused, a failure domain is cut off and the platform is down.
 func faults() Scenario {
 	return Scenario{
-		Name: "faults",
+		Name:       "faults",
+		Deployment: deployment.ChueDee().WithTargets(4, "shortlists", "reservations"),
 		Specs: []Spec{
 			{Name: "doubled", Unit: "requests", Bound: bound(0)},
 			{Name: "lost_answers", Unit: "requests", Bound: bound(0), Note: "entries that are killed or paused excluded"},
@@ -26,13 +27,7 @@
 	}
 }
 
-func runFaults(ctx context.Context, b Bench) (map[string]float64, error) {
-	d := deployment.ChueDee().WithTargets(4, "shortlists", "reservations")
-	s, err := b.setUp(ctx, "faults", d, false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runFaults(ctx context.Context, b Bench, s site) (map[string]float64, error) {
 	// With four targets of each service, a3 and b3 are the third nodes of their domains and serve reservations.
 	const killed, paused = "a3", "b3"
 	entries := []string{s.Entry("a1"), s.Entry("b1"), s.Entry("c1"), s.Entry("a2")}
@@ -51,7 +46,11 @@
 		func() error { s.Target("a1").SetFault(upstream.Fault{}); return nil },
 		func() error { return s.Platform.SetFaults(platform.Faults{}) },
 	}
-	r, err := s.run(ctx, time.Duration(len(steps)+2)*step, s.sources(0.5, 2, entries...), func(ctx context.Context) error {
+	sources := s.sources(0.5, 2, entries...)
+	if err := s.ramp(ctx, b, sources); err != nil {
+		return nil, err
+	}
+	r, err := s.run(ctx, time.Duration(len(steps)+2)*step, sources, func(ctx context.Context) error {
 		for _, do := range steps {
 			var err error
 			after(ctx, step, func() { err = do() })
--- a/measure/scenario/probe.go
+++ b/measure/scenario/probe.go
@@ -10,18 +10,14 @@
 // probe measures the share of a target's time that probes take while there is no traffic, the worst case for probing.
 func probe() Scenario {
 	return Scenario{
-		Name:  "probe",
-		Specs: []Spec{{Name: "probe_share", Unit: "share", Bound: bound(0.005), Note: "largest of all targets, without traffic"}},
-		Run:   runProbe,
+		Name:       "probe",
+		Deployment: deployment.Abitudini().WithTargets(3, "history"),
+		Specs:      []Spec{{Name: "probe_share", Unit: "share", Bound: bound(0.005), Note: "largest of all targets, without traffic"}},
+		Run:        runProbe,
 	}
 }
 
-func runProbe(ctx context.Context, b Bench) (map[string]float64, error) {
-	s, err := b.setUp(ctx, "probe", deployment.Abitudini().WithTargets(3, "history"), false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runProbe(ctx context.Context, b Bench, s site) (map[string]float64, error) {
 	before := map[string]time.Duration{}
 	for _, n := range s.Nodes() {
 		before[n.Name] = s.Target(n.Name).Report().Probing
--- a/measure/scenario/read.go
+++ b/measure/scenario/read.go
@@ -16,20 +16,16 @@
 func read() Scenario {
 	return Scenario{
 		Name: "read", Alone: true, Naive: robin,
-		Specs: []Spec{{Name: "read_p99_ms", Unit: "ms"}, {Name: "read_p999_ms", Unit: "ms"}},
-		Run:   runRead,
+		Deployment: deployment.Abitudini().WithTargets(7, "history"),
+		Specs:      []Spec{{Name: "read_p99_ms", Unit: "ms"}, {Name: "read_p999_ms", Unit: "ms"}},
+		Run:        runRead,
 	}
 }
 
-func runRead(ctx context.Context, b Bench) (map[string]float64, error) {
-	s, err := b.setUp(ctx, "read", deployment.Abitudini().WithTargets(7, "history"), false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runRead(ctx context.Context, b Bench, s site) (map[string]float64, error) {
 	// Seven targets with 12 slots and 40 ms a request serve 2,100 requests a second; the load is about 1,100.
 	sources := s.sources(0.8, 8)
-	if _, err := s.run(ctx, time.Second, sources, nil); err != nil {
+	if err := s.ramp(ctx, b, sources); err != nil {
 		return nil, err
 	}
 	length := b.lasts(3*time.Second, 20*time.Second)
--- a/measure/scenario/refusals.go
+++ b/measure/scenario/refusals.go
@@ -13,19 +13,19 @@
 func refusals() Scenario {
 	return Scenario{
 		Name: "refusals", Naive: split,
-		Specs: []Spec{{Name: "wrongful_refusals", Unit: "share", Note: "of all requests; accounts send 0.8 of their rates through one node"}},
-		Run:   runRefusals,
+		Deployment: deployment.ChueDee().WithTargets(3, "shortlists"),
+		Specs:      []Spec{{Name: "wrongful_refusals", Unit: "share", Note: "of all requests; accounts send 0.8 of their rates through one node"}},
+		Run:        runRefusals,
 	}
 }
 
-func runRefusals(ctx context.Context, b Bench) (map[string]float64, error) {
-	d := deployment.ChueDee().WithTargets(3, "shortlists")
-	s, err := b.setUp(ctx, "refusals", d, false)
-	if err != nil {
+func runRefusals(ctx context.Context, b Bench, s site) (map[string]float64, error) {
+	d := s.deployment
+	sources := s.sources(0.8, 1, s.Entry("a1"))
+	if err := s.ramp(ctx, b, sources); err != nil {
 		return nil, err
 	}
-	defer s.close()
-	r, err := s.run(ctx, b.lasts(3*time.Second, 15*time.Second), s.sources(0.8, 1, s.Entry("a1")), nil)
+	r, err := s.run(ctx, b.lasts(3*time.Second, 15*time.Second), sources, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/measure/scenario/run.go
+++ b/measure/scenario/run.go
@@ -23,30 +23,48 @@
 func (b Bench) Run(ctx context.Context, scenarios []Scenario) []report.Figure {
 	ctx, cancel := context.WithTimeout(ctx, b.lasts(quickLimit, fullLimit))
 	defer cancel()
-	outcomes := make([]outcome, len(jobs(scenarios)))
-	for i, j := range jobs(scenarios) {
-		if j.scenario.Alone {
-			outcomes[i] = b.measure(ctx, j)
-		}
-	}
+	list := jobs(scenarios)
+	outcomes := make([]outcome, len(list))
+	b.runAlone(ctx, list, outcomes)
 	// Both policies of a scenario may run at once, since each has a fleet of its own.
 	places := make(chan struct{}, parallel)
 	if !b.Quick {
 		places = make(chan struct{}, fullParallel)
 	}
 	var all sync.WaitGroup
-	for i, j := range jobs(scenarios) {
+	for i, j := range list {
 		if j.scenario.Alone {
 			continue
 		}
 		places <- struct{}{}
 		all.Go(func() {
 			defer func() { <-places }()
-			outcomes[i] = b.measure(ctx, j)
+			start := time.Now()
+			s, err := b.SetUp(ctx, b.of(j), j.scenario)
+			outcomes[i] = b.measure(ctx, j, s, err, start)
 		})
 	}
 	all.Wait()
-	return figures(jobs(scenarios), outcomes)
+	return figures(list, outcomes)
+}
+
+// runAlone sets the fleets up at once, and then puts load on one after the other.
+func (b Bench) runAlone(ctx context.Context, list []job, outcomes []outcome) {
+	start := time.Now()
+	sites, errs := make([]site, len(list)), make([]error, len(list))
+	var all sync.WaitGroup
+	for i, j := range list {
+		if j.scenario.Alone {
+			all.Go(func() { sites[i], errs[i] = b.SetUp(ctx, b.of(j), j.scenario) })
+		}
+	}
+	all.Wait()
+	for i, j := range list {
+		if j.scenario.Alone {
+			outcomes[i] = b.measure(ctx, j, sites[i], errs[i], start)
+			start = time.Now()
+		}
+	}
 }
 
 // job is one run of a scenario under one policy.
@@ -73,14 +91,23 @@
 	return list
 }
 
-func (b Bench) measure(ctx context.Context, j job) outcome {
-	start := time.Now()
-	dir, policy := "own", "own policy"
+// of returns the bench with the job's policy, and a directory of its own.
+func (b Bench) of(j job) Bench {
+	dir := "own"
 	if j.policy != "" {
-		dir, policy = "naive", j.policy
+		dir = "naive"
+	}
+	return b.WithDir(filepath.Join(b.Dir, dir)).WithPolicy(j.policy)
+}
+
+// measure runs a job on its fleet and ends the fleet.
+func (b Bench) measure(ctx context.Context, j job, s site, err error, start time.Time) outcome {
+	if err != nil {
+		return outcome{err: err}
 	}
-	values, err := j.scenario.Run(ctx, b.WithDir(filepath.Join(b.Dir, dir)).WithPolicy(j.policy))
-	_, _ = fmt.Fprintf(b.Out, "%s, %s: %.1f s\n", j.scenario.Name, policy, time.Since(start).Seconds())
+	defer s.close()
+	values, err := j.scenario.Run(ctx, b.of(j), s)
+	_, _ = fmt.Fprintf(b.Out, "%s %s: %.1f s\n", j.scenario.Name, j.policy, time.Since(start).Seconds())
 	return outcome{values: values, err: err}
 }
 
--- a/measure/scenario/scenario.go
+++ b/measure/scenario/scenario.go
@@ -38,11 +38,14 @@
 
 // Scenario is one measurement.
 type Scenario struct {
-	Name  string
-	Alone bool   // measures times, so nothing else may run
-	Naive string // setting of the naive policy, empty if there is none
-	Specs []Spec
-	Run   func(ctx context.Context, b Bench) (map[string]float64, error)
+	Name       string
+	Alone      bool   // measures times, so no other load may run meanwhile
+	Naive      string // setting of the naive policy, empty if there is none
+	Deployment deployment.Deployment
+	Small      bool // quick runs have only three targets of each service
+	Direct     bool // callers connect to nodes without a delay
+	Specs      []Spec
+	Run        func(ctx context.Context, b Bench, s site) (map[string]float64, error)
 }
 
 // All returns all scenarios in the order in which they run.
@@ -59,9 +62,16 @@
 	Plots  string // directory for plots, empty for none
 	Quick  bool
 	Out    io.Writer
+	// SetUp starts a scenario's fleet; tests replace it.
+	SetUp  func(ctx context.Context, b Bench, c Scenario) (site, error)
 	policy string
 }
 
+// NewBench returns a bench that runs the given node program.
+func NewBench(binary, dir string, out io.Writer) Bench {
+	return Bench{Binary: binary, Dir: dir, Out: out, SetUp: setUp}
+}
+
 // WithPolicy returns b with another policy of the nodes.
 func (b Bench) WithPolicy(setting string) Bench {
 	b.policy = setting
@@ -94,6 +104,7 @@
 	caller     load.Caller
 	sent       *atomic.Int64 // numbers requests, so that their ids are unique
 	label      string
+	out        io.Writer
 }
 
 // NothingError reports a scenario whose condition did not occur, so that its figures would say nothing.
@@ -101,17 +112,21 @@
 
 func (e NothingError) Error() string { return "scenario: " + e.Text }
 
-// setUp starts a fleet and waits until every node admits requests of every account.
-func (b Bench) setUp(ctx context.Context, label string, d deployment.Deployment, direct bool) (site, error) {
-	settings := fleet.Settings{Binary: b.Binary, Dir: filepath.Join(b.Dir, label), Deployment: d, Direct: direct}
+// setUp starts a scenario's fleet and waits until every node admits requests of every account.
+func setUp(ctx context.Context, b Bench, c Scenario) (site, error) {
+	d := c.Deployment
+	if c.Small && b.Quick {
+		d = d.WithTargets(len(deployment.Domains))
+	}
+	settings := fleet.Settings{Binary: b.Binary, Dir: filepath.Join(b.Dir, c.Name), Deployment: d, Direct: c.Direct}
 	if b.policy != "" {
 		settings.Env = []string{b.policy}
 	}
 	f, err := fleet.Start(ctx, settings)
 	if err != nil {
-		return site{}, fmt.Errorf("scenario: setting up %s: %w", label, err)
+		return site{}, fmt.Errorf("scenario: setting up %s: %w", c.Name, err)
 	}
-	s := site{Fleet: f, deployment: d, caller: load.NewCaller(timeout), sent: &atomic.Int64{}, label: label}
+	s := site{Fleet: f, deployment: d, caller: load.NewCaller(timeout), sent: &atomic.Int64{}, label: c.Name, out: b.Out}
 	if err := s.warm(ctx); err != nil {
 		s.close()
 		return site{}, err
@@ -119,8 +134,11 @@
 	return s, nil
 }
 
-// close ends the fleet.
+// close ends the fleet, if there is one.
 func (s site) close() {
+	if s.Fleet == nil {
+		return
+	}
 	s.Close()
 	s.caller.Close()
 }
--- a/measure/scenario/scenario_test.go
+++ b/measure/scenario/scenario_test.go
@@ -37,13 +37,15 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := Scenario{Naive: robin, Specs: []Spec{{Name: "x", Bound: bound(2)}}, Run: func(_ context.Context, b Bench) (map[string]float64, error) {
+			s := Scenario{Naive: robin, Specs: []Spec{{Name: "x", Bound: bound(2)}}, Run: func(_ context.Context, b Bench, _ site) (map[string]float64, error) {
 				if b.policy == robin {
 					return tc.naive, tc.naErr
 				}
 				return tc.own, tc.ownErr
 			}}
-			figures := Bench{Out: io.Discard}.Run(context.Background(), []Scenario{s, {Alone: true, Specs: s.Specs, Run: s.Run}})
+			bench := NewBench("", "", io.Discard)
+			bench.SetUp = func(context.Context, Bench, Scenario) (site, error) { return site{}, nil }
+			figures := bench.Run(context.Background(), []Scenario{s, {Alone: true, Specs: s.Specs, Run: s.Run}})
 			require.Len(t, figures, 2)
 			require.Equal(t, tc.pass, figures[0].Pass)
 			require.Equal(t, tc.value, figures[0].Value)
--- a/measure/scenario/shutdown.go
+++ b/measure/scenario/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"verbenapin.dev/measure/deployment"
@@ -14,26 +15,25 @@
 // shutdown counts the requests that a graceful shutdown cuts off, as entry and beside a target, large responses included.
 func shutdown() Scenario {
 	return Scenario{
-		Name:  "shutdown",
-		Specs: []Spec{{Name: "shutdown_cut", Unit: "requests", Bound: bound(0)}},
-		Run:   runShutdown,
+		Name:       "shutdown",
+		Deployment: deployment.Abitudini().WithTargets(3, "history", "exports"),
+		Specs:      []Spec{{Name: "shutdown_cut", Unit: "requests", Bound: bound(0)}},
+		Run:        runShutdown,
 	}
 }
 
-func runShutdown(ctx context.Context, b Bench) (map[string]float64, error) {
+func runShutdown(ctx context.Context, b Bench, s site) (map[string]float64, error) {
+	d := s.deployment
 	const leaving = "b1"
-	d := deployment.Abitudini().WithTargets(3, "history", "exports")
-	s, err := b.setUp(ctx, "shutdown", d, false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
 	// Callers stop using the node within a second of its shutdown; it keeps its listener open for two.
 	const before, still = time.Second, time.Second
 	length := b.lasts(5*time.Second, 10*time.Second)
 	large := s.traffic(d.Account("lazio"), 1).WithRoutes("exports").WithBytes(4 << 20)
 	near := []load.Source{s.traffic(d.Account("lombardia"), 4).source(150, s.Entry(leaving)), large.source(5, s.Entry(leaving))}
 	far := append(s.sources(0.2, 4, s.Entry("a1"), s.Entry("c1")), large.source(5, s.Entry("a1")))
+	if err := s.ramp(ctx, b, slices.Concat(near, far)); err != nil {
+		return nil, err
+	}
 	var stopped *fleet.Process
 	entered := make(chan load.Result, 1)
 	go func() {
--- a/measure/scenario/spread.go
+++ b/measure/scenario/spread.go
@@ -12,22 +12,15 @@
 // spread measures the time from the publication of a version until all nodes have activated it.
 func spread() Scenario {
 	return Scenario{
-		Name:  "spread",
+		Name:       "spread",
+		Deployment: deployment.Abitudini(), Small: true,
 		Specs: []Spec{{Name: "config_spread_s", Unit: "s", Bound: bound(8), Note: "slowest of several versions"}},
 		Run:   runSpread,
 	}
 }
 
-func runSpread(ctx context.Context, b Bench) (map[string]float64, error) {
-	d := deployment.Abitudini()
-	if b.Quick {
-		d = d.WithTargets(3)
-	}
-	s, err := b.setUp(ctx, "spread", d, false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
+func runSpread(ctx context.Context, b Bench, s site) (map[string]float64, error) {
+	d := s.deployment
 	versions := 3
 	if !b.Quick {
 		versions = 10
--- a/measure/scenario/traffic.go
+++ b/measure/scenario/traffic.go
@@ -106,6 +106,7 @@
 		}
 	}
 	r := <-done
+	_, _ = fmt.Fprintf(s.out, "%s: %s\n", s.label, r.Summary())
 	if err == nil {
 		err = ctx.Err()
 	}
@@ -115,6 +116,12 @@
 	return r, err
 }
 
+// ramp sends load until the nodes have learnt how much their targets can serve; what happens meanwhile is not measured.
+func (s site) ramp(ctx context.Context, b Bench, sources []load.Source) error {
+	_, err := s.run(ctx, b.lasts(1500*time.Millisecond, 4*time.Second), sources, nil)
+	return err
+}
+
 // executions returns what targets ran, as part of a history.
 func (s site) executions() []history.Execution {
 	var list []history.Execution
--- a/measure/scenario/withdrawal.go
+++ b/measure/scenario/withdrawal.go
@@ -10,20 +10,16 @@
 // withdrawal measures how long a withdrawn key is still accepted, on connections that stay open.
 func withdrawal() Scenario {
 	return Scenario{
-		Name:  "withdrawal",
-		Specs: []Spec{{Name: "withdrawn_key_s", Unit: "s", Bound: bound(8), Note: "the bound is that for a configuration change"}},
-		Run:   runWithdrawal,
+		Name:       "withdrawal",
+		Deployment: deployment.Abitudini().WithTargets(3, "history"),
+		Specs:      []Spec{{Name: "withdrawn_key_s", Unit: "s", Bound: bound(8), Note: "the bound is that for a configuration change"}},
+		Run:        runWithdrawal,
 	}
 }
 
-func runWithdrawal(ctx context.Context, b Bench) (map[string]float64, error) {
+func runWithdrawal(ctx context.Context, b Bench, s site) (map[string]float64, error) {
+	d := s.deployment
 	const account = "lombardia"
-	d := deployment.Abitudini().WithTargets(3, "history")
-	s, err := b.setUp(ctx, "withdrawal", d, false)
-	if err != nil {
-		return nil, err
-	}
-	defer s.close()
 	length := b.lasts(3*time.Second, 10*time.Second)
 	var published time.Time
 	r, err := s.run(ctx, length, s.sources(0.4, 1), func(ctx context.Context) error {
