Warm entries and ask nodes at once

Asking nodes one after the other added up to 20 ms each to the time until a version is in force, and warming entries one after the other took about a second for each fleet. Both now run at once. Callers also use the nodes of the failure domain that is taken out, which must pass their requests on. The summary of a run names its first broken answer.

--- a/measure/load/result.go
+++ b/measure/load/result.go
@@ -73,10 +73,14 @@
 // Summary returns the numbers of answers by their kind.
 func (r Result) Summary() string {
 	kinds := map[string]int{}
+	var first error
 	for _, a := range r.answers {
 		switch {
 		case a.Err != nil:
 			kinds["broken"]++
+			if first == nil {
+				first = a.Err
+			}
 		case a.Code != "":
 			kinds[a.Code]++
 		default:
@@ -87,6 +91,9 @@
 	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
 		text += fmt.Sprintf(", %s %d", kind, kinds[kind])
 	}
+	if first != nil {
+		text += fmt.Sprintf(" (first: %v)", first)
+	}
 	return text
 }
 
--- a/measure/scenario/evacuation.go
+++ b/measure/scenario/evacuation.go
@@ -29,10 +29,9 @@
 
 func runEvacuation(ctx context.Context, b Bench, s site) (map[string]float64, error) {
 	d := s.deployment
-	// Callers use the nodes of the domains that stay, as operators take a domain's addresses away from callers first.
-	entries := s.Entries("a", "c")
+	// Callers keep using the nodes of the domain that is taken out, which must pass their requests on to the others.
 	part := b.lasts(2*time.Second, 10*time.Second)
-	sources := s.sources(0.3, 4, entries...)
+	sources := s.sources(0.3, 4)
 	if err := s.ramp(ctx, b, sources); err != nil {
 		return nil, err
 	}
--- a/measure/scenario/scenario.go
+++ b/measure/scenario/scenario.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -147,20 +149,29 @@
 func (s site) warm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, warmWithin)
 	defer cancel()
+	entries := s.Entries()
+	errs := make([]error, len(entries))
+	var all sync.WaitGroup
+	for i, entry := range entries {
+		all.Go(func() { errs[i] = s.warmEntry(ctx, entry) })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+func (s site) warmEntry(ctx context.Context, entry string) error {
 	for _, a := range s.deployment.Accounts() {
 		t := s.traffic(a, 1)
 		if len(t.routes) == 0 {
 			continue
 		}
-		for _, entry := range s.Entries() {
-			var last load.Answer
-			err := fleet.Await(ctx, func() bool {
-				last = s.caller.Do(ctx, entry, t.next(0), time.Now())
-				return last.OK()
-			})
-			if err != nil {
-				return fmt.Errorf("scenario: %s serves no request of %s at %s: status %d, code %q: %w", s.label, a.Name, entry, last.Status, last.Code, err)
-			}
+		var last load.Answer
+		err := fleet.Await(ctx, func() bool {
+			last = s.caller.Do(ctx, entry, t.next(0), time.Now())
+			return last.OK()
+		})
+		if err != nil {
+			return fmt.Errorf("scenario: %s serves no request of %s at %s: status %d, code %q: %w", s.label, a.Name, entry, last.Status, last.Code, err)
 		}
 	}
 	return nil
--- a/measure/scenario/spread.go
+++ b/measure/scenario/spread.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"verbenapin.dev/measure/deployment"
@@ -33,18 +35,32 @@
 		if err := s.Publish(d.WithAccount(a)); err != nil {
 			return nil, err
 		}
-		for _, n := range s.Nodes() {
-			limit, cancel := context.WithTimeout(ctx, 20*time.Second)
-			err := fleet.Await(limit, func() bool {
-				state, err := s.State(limit, n.Name)
+		if err := s.awaitVersion(ctx); err != nil {
+			return nil, err
+		}
+		worst = max(worst, time.Since(start).Seconds())
+	}
+	return map[string]float64{"config_spread_s": worst}, nil
+}
+
+// awaitVersion waits until all nodes have activated the version published last; it asks them at once, so that asking adds
+// one period of polling and not one for each node.
+func (s site) awaitVersion(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	errs := make([]error, len(s.Nodes()))
+	var all sync.WaitGroup
+	for i, n := range s.Nodes() {
+		all.Go(func() {
+			err := fleet.Await(ctx, func() bool {
+				state, err := s.State(ctx, n.Name)
 				return err == nil && state.Version >= s.Version()
 			})
-			cancel()
 			if err != nil {
-				return nil, fmt.Errorf("scenario: node %s does not activate version %d: %w", n.Name, s.Version(), err)
+				errs[i] = fmt.Errorf("scenario: node %s does not activate version %d: %w", n.Name, s.Version(), err)
 			}
-		}
-		worst = max(worst, time.Since(start).Seconds())
+		})
 	}
-	return map[string]float64{"config_spread_s": worst}, nil
+	all.Wait()
+	return errors.Join(errs...)
 }
