--- a/measure/scenario/run.go
+++ b/measure/scenario/run.go
@@ -107,6 +107,9 @@
 	}
 	defer s.close()
 	values, err := j.scenario.Run(ctx, b.of(j), s)
+	if err == nil {
+		err = s.leaked()
+	}
 	_, _ = fmt.Fprintf(b.Out, "%s %s: %.1f s\n", j.scenario.Name, j.policy, time.Since(start).Seconds())
 	return outcome{values: values, err: err}
 }
--- a/measure/scenario/scenario.go
+++ b/measure/scenario/scenario.go
@@ -145,6 +145,19 @@
 	s.caller.Close()
 }
 
+// leaked returns an error if a key or an internal header has reached a target; no figure of such a run counts.
+func (s site) leaked() error {
+	if s.Fleet == nil {
+		return nil
+	}
+	for _, n := range s.Nodes() {
+		if r := s.Target(n.Name).Report(); r.Keys > 0 || r.Internal > 0 {
+			return fmt.Errorf("scenario: target %s saw %d keys and %d internal headers", n.Name, r.Keys, r.Internal)
+		}
+	}
+	return nil
+}
+
 // warm waits until one request of each account was served at each entry.
 func (s site) warm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, warmWithin)
