Test the fleet's faults with fake nodes in child processes

Kill, restart, pause, cut and the list of leaving instances were exercised only by scenarios, where a fault that does not take place looks like a good result.

--- a/measure/fleet/fleet_test.go
+++ b/measure/fleet/fleet_test.go
@@ -3,21 +3,130 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
+	"net/http"
 	"os"
+	"os/signal"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
 	"verbenapin.dev/measure/deployment"
+	"verbenapin.dev/node/instance"
 	"verbenapin.dev/node/loop"
 )
 
-// TestMain guards against relays and processes that outlive a fleet.
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// fakeMark makes the test's own program run as a fake node.
+const fakeMark = "MEASURE_FAKE_NODE"
+
+// TestMain guards against relays and processes that outlive a fleet, and runs the fake node when asked to.
+func TestMain(m *testing.M) {
+	if os.Getenv(fakeMark) != "" {
+		os.Exit(fakeNode())
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// fakeNode answers with its name on the listeners for callers and operators until SIGTERM.
+func fakeNode() int {
+	var s struct {
+		Name   string `long:"name"`
+		Caller string `long:"caller"`
+		Peer   string `long:"peer"`
+		Admin  string `long:"admin"`
+	}
+	if _, err := flags.NewParser(&s, flags.IgnoreUnknown).Parse(); err != nil {
+		return 2
+	}
+	for _, addr := range []string{s.Caller, s.Peer, s.Admin} {
+		go func() {
+			_ = http.ListenAndServe(addr, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = fmt.Fprintf(w, `{"name":%q,"version":7}`, s.Name)
+			}))
+		}()
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+	return 0
+}
+
+// TestFleet guards against faults that don't take place: a killed node that is still reached, a restarted one that is
+// not, a link that is not cut, an instance list that does not change, and a child that outlives the fleet.
+func TestFleet(t *testing.T) {
+	t.Setenv(fakeMark, "1")
+	binary, err := os.Executable()
+	require.NoError(t, err)
+	ctx := context.Background()
+	f, err := Start(ctx, Settings{Binary: binary, Dir: t.TempDir(), Deployment: deployment.Abitudini().WithTargets(3, "history")})
+	require.NoError(t, err)
+	closed := false
+	defer func() {
+		if !closed {
+			f.Close()
+		}
+	}()
+	client := &http.Client{Timeout: 200 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	ask := func(addr string) error {
+		res, err := client.Get("http://" + addr)
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		return err
+	}
+	// The listeners of the fake node open one after the other, and a busy machine may exceed the client's timeout.
+	reaches := func(addr string) {
+		require.Eventually(t, func() bool { return ask(addr) == nil }, 10*time.Second, time.Millisecond)
+	}
+	listed := func(domain, name string) instance.Instance {
+		res, err := client.Get("http://" + f.lists[domain] + "/v1/instances")
+		require.NoError(t, err)
+		defer res.Body.Close()
+		var list []instance.Instance
+		require.NoError(t, json.NewDecoder(res.Body).Decode(&list))
+		return list[slices.IndexFunc(list, func(i instance.Instance) bool { return i.Name == name })]
+	}
+	require.Equal(t, f.Node("b1").Peer, listed("b", "b1").Peer)
+	fromA := listed("a", "b1").Peer
+	require.NotEqual(t, f.Node("b1").Peer, fromA)
+	reaches(fromA)
+	state, err := f.State(ctx, "b1")
+	require.NoError(t, err)
+	require.Equal(t, int64(7), state.Version)
+
+	f.Cut("b")
+	require.Error(t, ask(fromA))
+	reaches(f.Entry("b1"))
+	f.Restore("b")
+	reaches(fromA)
+
+	f.Kill("b1")
+	require.ErrorIs(t, ask(f.Entry("b1")), syscall.ECONNREFUSED)
+	require.ErrorIs(t, ask(fromA), syscall.ECONNREFUSED)
+	require.NoError(t, f.StartNode("b1"))
+	require.NoError(t, f.AwaitReady(ctx, "b1"))
+	reaches(f.Entry("b1"))
+
+	require.NoError(t, f.Pause("b1"))
+	require.Error(t, ask(f.Entry("b1")))
+	require.NoError(t, f.Resume("b1"))
+	require.NoError(t, f.SetLeaving("b1", true))
+	require.Equal(t, instance.Leaving, listed("c", "b1").State)
+	require.NoError(t, f.Stop())
+	pids := []int{f.processes["a1"].Pid(), f.processes["b1"].Pid(), f.processes["c1"].Pid()}
+	closed = true
+	f.Close()
+	for _, pid := range pids {
+		require.ErrorIs(t, syscall.Kill(pid, 0), syscall.ESRCH)
+	}
+}
 
 // TestPlan guards against services without a target in each failure domain, and against instances that share an address.
 func TestPlan(t *testing.T) {
