Start the axes of plots at zero and make room for the legend

The legend covered the curves, and an axis that starts at the smallest value exaggerates differences. Errors of the program no longer carry its name twice.

--- a/measure/main.go
+++ b/measure/main.go
@@ -66,7 +66,7 @@
 }
 
 func fail(err error, code int) int {
-	fmt.Fprintln(os.Stderr, "measure:", err)
+	fmt.Fprintln(os.Stderr, err)
 	return code
 }
 
--- a/measure/report/plot.go
+++ b/measure/report/plot.go
@@ -57,6 +57,8 @@
 		p.Add(line)
 		p.Legend.Add(s.Name, line)
 	}
+	// The axis starts at zero, and the legend has room above the curves.
+	p.Y.Min, p.Y.Max = 0, p.Y.Max*1.25
 	if err := p.Save(8*vg.Inch, 5*vg.Inch, path); err != nil {
 		return fmt.Errorf("report: writing a plot: %w", err)
 	}
