Spread a withdrawn key and an evacuation beyond the homes

Requests that go straight to a target carry no key, as the new check for leaked keys took them for a leak.

--- a/measure/scenario/added.go
+++ b/measure/scenario/added.go
@@ -30,7 +30,7 @@
 	// The only target of the route is beside a1, and a2 in the same domain is the entry.
 	// A cost this small keeps the spread of the service time below the latency that is measured.
 	t := s.traffic(d.Account("lombardia"), 0.02).WithRoutes("history")
-	through, straight := t.source(rate, s.Entry("a2")), t.source(rate, s.Node("a1").Target)
+	through, straight := t.source(rate, s.Entry("a2")), t.WithoutKey().source(rate, s.Node("a1").Target)
 	sources := []load.Source{through, straight}
 	if err := s.ramp(ctx, b, sources); err != nil {
 		return nil, err
--- a/measure/scenario/evacuation.go
+++ b/measure/scenario/evacuation.go
@@ -17,7 +17,7 @@
 func evacuation() Scenario {
 	return Scenario{
 		Name: "evacuation", Naive: robin,
-		Deployment: deployment.Abitudini().WithTargets(3, "history", "checkins"),
+		Deployment: deployment.Abitudini().WithTargets(4, "history", "checkins"),
 		Specs: []Spec{
 			{Name: "evacuation_s", Unit: "s", Bound: bound(8), Note: "the bound is that for a configuration change"},
 			{Name: "evacuation_errors", Unit: "requests", Bound: bound(0)},
--- a/measure/scenario/traffic.go
+++ b/measure/scenario/traffic.go
@@ -54,6 +54,12 @@
 	return t
 }
 
+// WithoutKey returns t without an API key, for requests that go straight to a target.
+func (t traffic) WithoutKey() traffic {
+	t.account.Keys = nil
+	return t
+}
+
 // next returns a read for an idempotent route and a write for another one; ids are unique within a site.
 func (t traffic) next(int) load.Request {
 	n := t.site.sent.Add(1)
--- a/measure/scenario/withdrawal.go
+++ b/measure/scenario/withdrawal.go
@@ -8,10 +8,11 @@
 )
 
 // withdrawal measures how long a withdrawn key is still accepted, on connections that stay open.
+// More nodes than homes take part, so that the version must also spread from node to node.
 func withdrawal() Scenario {
 	return Scenario{
 		Name:       "withdrawal",
-		Deployment: deployment.Abitudini().WithTargets(3, "history"),
+		Deployment: deployment.Abitudini().WithTargets(7, "history"),
 		Specs:      []Spec{{Name: "withdrawn_key_s", Unit: "s", Bound: bound(8), Note: "the bound is that for a configuration change"}},
 		Run:        runWithdrawal,
 	}
@@ -22,7 +23,7 @@
 	const account = "lombardia"
 	length := b.lasts(3*time.Second, 10*time.Second)
 	var published time.Time
-	r, err := s.run(ctx, length, s.sources(0.4, 1), func(ctx context.Context) error {
+	r, err := s.run(ctx, length, s.sources(0.8, 1), func(ctx context.Context) error {
 		var err error
 		after(ctx, length/4, func() {
 			published = time.Now()
