Make the start of lending visible

Cause: a home mints nothing before the lease time has passed after its start, and begins empty. Nothing outside the account slice could tell, so a node called itself ready while every request with a key was refused as rate for about 2 s.

Change: Limiter.Lends tells that the wait has passed and one second of minting with it. One second gives a token to each account of at least 1/s; without it the first request after the wait was still refused (seen in TestReady of the daemon).

Conclusion: the daemon can make readiness depend on it; no decision of the slice changes.

--- a/node/account/control.go
+++ b/node/account/control.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"verbenapin.dev/node/answer"
@@ -18,6 +19,8 @@
 	tickEvery = 100 * time.Millisecond
 	// sendTimeout bounds one Take; a token that arrives later has lost a good part of its lease.
 	sendTimeout = 500 * time.Millisecond
+	// firstMint is the time in which a home that begins empty mints a token for each account of at least 1/s.
+	firstMint = time.Second
 	// waitTimeout bounds the time that a request waits for tokens.
 	waitTimeout = 500 * time.Millisecond
 )
@@ -41,6 +44,9 @@
 	cancel  context.CancelFunc
 	sends   sync.WaitGroup
 	tick    *clock.Subscription
+	lends   atomic.Bool
+	// lendsFrom is when the wait after the start ended; the control goroutine owns it.
+	lendsFrom time.Time
 }
 
 // New returns a limiter of the node self, whose state lives on the given loop.
@@ -109,6 +115,9 @@
 	return nil
 }
 
+// Lends tells whether this node, if it is a home, has waited long enough after its start to have tokens to lend.
+func (a *Limiter) Lends() bool { return a.lends.Load() }
+
 // Take serves a Take as a home.
 func (a *Limiter) Take(ctx context.Context, take Take) (Grant, error) {
 	grants := make(chan Grant, 1)
@@ -275,5 +284,9 @@
 func (a *Limiter) onTick(now time.Time) {
 	a.ledger.Allow(a.since(now), a.Mint(now))
 	a.ledger.Tick(a.since(now))
+	if a.lendsFrom.IsZero() && a.ledger.Lends() {
+		a.lendsFrom = now
+	}
+	a.lends.Store(!a.lendsFrom.IsZero() && now.Sub(a.lendsFrom) >= firstMint)
 	a.send(a.book.Tick(a.since(now)))
 }
--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -165,6 +165,9 @@
 	}
 }
 
+// Lends tells whether the wait after the start has passed, so that permitted time mints tokens.
+func (l *Ledger) Lends() bool { return l.lowest > 0 }
+
 // Allow states whether this home may mint: its verdict is to serve, and it has heard more than half of the homes,
 // itself included, within Evidence and with versions not above its own. Time without permission mints nothing;
 // neither does a gap between calls longer than Evidence, which is a pause of the process.
