Log stages and reasons of requests, and limit refusals by code

Change: fields for the stages of a request and the text of a refusal; the limit of lines also distinguishes the code, and the line with repeats names it. TestFlood has a case for it.

Conclusion: one request of a rare code is found in the log while another code floods it.

--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -15,6 +15,7 @@
 const (
 	maxName  = 64
 	maxCause = 512
+	codeName = "code"
 )
 
 // Field is a named value of a line; only the functions of this package make one, so that no key or body becomes a field.
@@ -48,7 +49,7 @@
 func Version(n int64) Field { return Field{name: "version", value: n} }
 
 // Code is the code of a refusal.
-func Code(c answer.Code) Field { return Field{name: "code", value: string(c)} }
+func Code(c answer.Code) Field { return Field{name: codeName, value: string(c)} }
 
 // Run tells whether a refused request ran.
 func Run(r answer.Run) Field { return Field{name: "run", value: string(r)} }
@@ -59,6 +60,28 @@
 // Count is a number of things.
 func Count(n int) Field { return Field{name: "count", value: n} }
 
+// Refusal is the text of a refusal, which names no key, path or body.
+func Refusal(r answer.Refusal) Field { return Field{name: "reason", value: cut(r.Text)} }
+
+// Stages tells where the time of a request went, in milliseconds.
+func Stages(t Times) Field {
+	return Field{name: "stages", value: stages{
+		Account: milliseconds(t.Account), Choice: milliseconds(t.Choice), Hop: milliseconds(t.Hop),
+		Queue: milliseconds(t.Queue), Target: milliseconds(t.Target),
+	}}
+}
+
+// Times are the stages of a request's way, named as those of the metric wait.
+type Times struct{ Account, Choice, Hop, Queue, Target time.Duration }
+
+type stages struct {
+	Account float64 `json:"account"`
+	Choice  float64 `json:"choice"`
+	Hop     float64 `json:"hop"`
+	Queue   float64 `json:"queue"`
+	Target  float64 `json:"target"`
+}
+
 // Took is a time that passed, in milliseconds.
 func Took(d time.Duration) Field { return Field{name: "took", value: milliseconds(d)} }
 
--- a/node/journal/journal.go
+++ b/node/journal/journal.go
@@ -33,6 +33,7 @@
 type subject struct {
 	level   logrus.Level
 	message Message
+	code    string // so that a refusal of a rare kind is not held back by those of a frequent one
 }
 
 // New returns a journal of the named node that writes lines of the level and above to w.
@@ -93,7 +94,7 @@
 	if !j.log.IsLevelEnabled(level) {
 		return
 	}
-	k := subject{level: level, message: m}
+	k := subject{level: level, message: m, code: codeOf(fields)}
 	j.mu.Lock()
 	l, write := j.limits[k].WithLine()
 	j.limits[k] = l
@@ -103,6 +104,17 @@
 	}
 }
 
+// codeOf returns the code of a refusal among the fields, empty if there is none.
+func codeOf(fields []Field) string {
+	for _, f := range fields {
+		if f.name == codeName {
+			code, _ := f.value.(string)
+			return code
+		}
+	}
+	return ""
+}
+
 // report starts a new period and writes one line for each kind that was held back.
 func (j *Journal) report() {
 	j.mu.Lock()
@@ -111,7 +123,7 @@
 	j.mu.Unlock()
 	for k, l := range limits {
 		if n := l.Repeats(); n > 0 {
-			j.write(k.level, k.message, []Field{{name: "repeats", value: n}})
+			j.write(k.level, k.message, []Field{{name: "repeats", value: n}, {name: codeName, value: k.code}})
 		}
 	}
 }
--- a/node/journal/journal_test.go
+++ b/node/journal/journal_test.go
@@ -83,7 +83,8 @@
 		j.Warn("target refused the connection")
 	}
 	j.Warn("part is missing")
-	require.Len(t, lines(), most+1)
+	j.Warn("target refused the connection", Code(answer.Lost))
+	require.Len(t, lines(), most+2)
 	m.Advance(period)
 	got := lines()
 	require.Len(t, got, 1)
