Keep the reason of a rejected version and the versions of peers

Cause: /state has fields for both, but nothing recorded them.

Change: the view keeps the version of an instance's last heartbeat, and the store the reason why the newest version was rejected until a version is adopted.

--- a/node/config/store.go
+++ b/node/config/store.go
@@ -71,6 +71,8 @@
 	ticks   []*clock.Subscription
 	mu      sync.Mutex
 	closed  bool
+	// rejection is why the newest version was rejected, nil if it was not.
+	rejection atomic.Pointer[string]
 
 	// Owned by the control goroutine.
 	parts    map[Digest][]byte
@@ -144,6 +146,14 @@
 // Verdict tells whether the node may serve now; any goroutine may call it.
 func (c *Store) Verdict() Verdict { return c.version.Load().Verdict(c.s.Clock.Now()) }
 
+// Rejection tells why the newest version was rejected, empty if it was not.
+func (c *Store) Rejection() string {
+	if text := c.rejection.Load(); text != nil {
+		return *text
+	}
+	return ""
+}
+
 // Current returns the tree, or a refusal if the node may not serve from it now; any goroutine may call it.
 func (c *Store) Current() (Tree, error) {
 	v := c.version.Load()
@@ -370,6 +380,7 @@
 	case err == nil:
 		v := before.WithTree(m, t)
 		c.version.Store(&v)
+		c.rejection.Store(nil)
 		if v.Number() > before.Number() {
 			c.parts = parts
 			c.announce(now, t)
@@ -378,6 +389,8 @@
 	case errors.As(err, &invalid):
 		v := before.WithRejected(m)
 		c.version.Store(&v)
+		text := fmt.Sprintf("version %d: %v", m.Version, err)
+		c.rejection.Store(&text)
 		c.failed("building a version", err)
 	default:
 		v := before.WithoutPending(m)
--- a/node/instance/view.go
+++ b/node/instance/view.go
@@ -41,6 +41,7 @@
 // mark is what this node observed of one instance.
 type mark struct {
 	boot     uint32
+	version  int64 // of the configuration, as the last heartbeat said
 	contact  time.Time
 	leaving  time.Time
 	failed   time.Time // last failure after the last contact
@@ -109,7 +110,7 @@
 	case m.boot != b.Boot:
 		m.leaving = time.Time{}
 	}
-	m.boot = b.Boot
+	m.boot, m.version = b.Boot, b.Version
 	return v.withMark(b.Name, m.answered(at), at)
 }
 
@@ -169,6 +170,9 @@
 // Heard returns when an instance last answered or sent a heartbeat, zero if never.
 func (v View) Heard(name string) time.Time { return v.marks[name].contact }
 
+// Version returns the configuration version that an instance last told of, zero if none.
+func (v View) Version(name string) int64 { return v.marks[name].version }
+
 // Status returns what the node concludes about an instance.
 func (v View) Status(now time.Time, name string) Status {
 	row, known := v.rows[name]
