Record spans, stages and libraries' output of running nodes

Cause: the exporter of spans was set up but no span was started; the stages account, choice, hop, queue and target of the metric wait stayed empty, as did probing, budget, reject in /state and the versions of peers; a response that broke off was counted nowhere; net/http and gRPC printed text to standard error; /ready answered 200 while a home still refused every request with a key.

Change: an attempt's reply carries its stages, between nodes with the header Verbenapin-Queue. The daemon wraps the seams of caller, dispatcher, gate and transport with spans and metrics, so no slice depends on a library for it. Probes are counted by result, broken responses by side.

--- a/node/answer/http.go
+++ b/node/answer/http.go
@@ -17,7 +17,8 @@
 	HeaderRun       = Prefix + "Run"
 	HeaderDeadline  = Prefix + "Deadline"
 	HeaderLoad      = Prefix + "Load"
-	HeaderTook      = Prefix + "Took" // microseconds at the target's node
+	HeaderTook      = Prefix + "Took"  // microseconds at the target's node
+	HeaderQueue     = Prefix + "Queue" // microseconds of that in the gate's queue
 	HeaderAccount   = Prefix + "Account"
 	HeaderRoute     = Prefix + "Route"
 	HeaderKey       = Prefix + "Key"
--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -35,6 +35,10 @@
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
 		name, reply, err := s.tries.Try(call, q.route.Service, tried)
+		q.result.Last = reply.Stages
+		if name != "" {
+			q.result.Target, q.result.Attempts = name, len(tried)+1
+		}
 		var refused answer.Refusal
 		if (!errors.As(err, &refused) || refused.Run != answer.RunNo) && !settled {
 			q.pass.Settle()
@@ -66,7 +70,9 @@
 	}
 	q.pass.Refund()
 	q.pass = free()
+	begun := s.now()
 	pass, err := s.spend(q.Context(), q.account)
+	q.result.Wait += s.now().Sub(begun)
 	if err != nil {
 		return err
 	}
@@ -80,9 +86,7 @@
 	if !allowed || q.Context().Err() != nil || (paid && !s.tries.Retry(q.route)) {
 		return false
 	}
-	if s.events.Retried != nil {
-		s.events.Retried(q.route.Name)
-	}
+	s.events.Retried(q.route.Name)
 	return true
 }
 
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -34,11 +35,30 @@
 	Retry func(route config.Route) bool
 }
 
-// Events are called for what operators count; each may be nil.
+// Events are called for what operators see.
 type Events struct {
-	Answered func(route, account string, status int, took time.Duration)
-	Refused  func(route, account, id string, r answer.Refusal)
-	Retried  func(route string)
+	// Begun returns the context of a request whose head has arrived.
+	Begun func(ctx context.Context, h http.Header) context.Context
+	// Ended is called with that context once for each request.
+	Ended func(ctx context.Context, r Result)
+	// Retried is called before each attempt after the first one.
+	Retried func(route string)
+}
+
+// Result is how a request ended and where its time went.
+type Result struct {
+	ID       string
+	Route    string // empty if none was found
+	Account  string // empty on open routes, and if no key was known
+	Target   string // instance of the last attempt
+	Attempts int
+	Status   int             // of the target's response, zero for a refusal
+	Refusal  *answer.Refusal // nil for a response
+	Broken   error           // why a response did not reach the caller completely
+	Wait     time.Duration   // for tokens of the account
+	Last     target.Stages   // of the last attempt
+	Head     time.Duration   // until the head of the response or the refusal was known
+	Whole    time.Duration   // until the end of the response
 }
 
 // Server accepts the requests of callers.
@@ -65,13 +85,14 @@
 }
 
 // NewServer returns a server. tree returns the configuration in force or a refusal, spend takes one request
-// from an account's allowance.
+// from an account's allowance, faults takes what the HTTP library reports.
 func NewServer(
 	now func() time.Time,
 	tree func() (config.Tree, error),
 	spend func(ctx context.Context, account string) (Pass, error),
 	tries Tries,
 	events Events,
+	faults *log.Logger,
 ) *Server {
 	s := &Server{now: now, tree: tree, spend: spend, tries: tries, events: events}
 	protocols := new(http.Protocols)
@@ -80,6 +101,7 @@
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		Protocols:         protocols,
+		ErrorLog:          faults,
 		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
@@ -114,6 +136,7 @@
 	key     config.Digest
 	begun   time.Time
 	pass    Pass
+	result  Result
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
@@ -121,13 +144,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := request{Request: r, id: requestID(r.Header), begun: s.now(), pass: free()}
+	q.Request = r.WithContext(s.events.Begun(r.Context(), r.Header))
 	w.Header().Set(answer.HeaderRequestID, q.id)
 	q, err := s.admit(q)
 	if err != nil {
 		s.refuse(w, q, err)
 		return
 	}
-	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), answer.Informational(w)))
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(q.Context(), answer.Informational(w)))
 	defer cancel()
 	q.Request = s.outgoing(ctx, q)
 	reply, err := s.attempt(&q)
@@ -135,13 +159,19 @@
 		s.refuse(w, q, err)
 		return
 	}
-	status := reply.Response.StatusCode
-	if err := answer.Relay(w, reply.Response); err != nil {
+	q.result.Status, q.result.Head = reply.Response.StatusCode, s.now().Sub(q.begun)
+	q.result.Broken = answer.Relay(w, reply.Response)
+	s.ended(q)
+	if q.result.Broken != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if s.events.Answered != nil {
-		s.events.Answered(q.route.Name, q.account, status, s.now().Sub(q.begun))
-	}
+}
+
+// ended reports the request to operators.
+func (s *Server) ended(q request) {
+	r := q.result
+	r.ID, r.Route, r.Account, r.Whole = q.id, q.route.Name, q.account, s.now().Sub(q.begun)
+	s.events.Ended(q.Context(), r)
 }
 
 // admit applies the rules of configuration, keys and rates to a request.
@@ -175,7 +205,9 @@
 	if !account.Allows(route.Name) {
 		return q, answer.NotRun(answer.Scope, "the account may not use the route")
 	}
+	begun := s.now()
 	pass, err := s.spend(q.Context(), account.Name)
+	q.result.Wait = s.now().Sub(begun)
 	if err != nil {
 		return q, err
 	}
@@ -221,10 +253,9 @@
 	if refused.Run == answer.RunNo {
 		q.pass.Refund()
 	}
-	if s.events.Refused != nil {
-		s.events.Refused(q.route.Name, q.account, q.id, refused)
-	}
+	q.result.Refusal, q.result.Head = &refused, s.now().Sub(q.begun)
 	answer.Write(w, refused, q.id)
+	s.ended(q)
 }
 
 // rawPath returns the path as it was received.
--- a/node/daemon/fleet_test.go
+++ b/node/daemon/fleet_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -75,10 +76,25 @@
 	p.values["manifest"] = m.Bytes()
 }
 
+// publishRejected publishes a version that no node accepts, as Pack would refuse to make it.
+func (p *platform) publishRejected(t *testing.T, version int64) {
+	t.Helper()
+	m, parts, err := config.Pack(version, []config.File{{Name: "tree.yaml", Data: []byte("routes: {}\n")}})
+	require.NoError(t, err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for d, data := range parts {
+		data = bytes.Replace(data, []byte("routes"), []byte("routed"), 1)
+		p.values["part-"+config.DigestOf(string(data)).String()] = data
+		p.values["manifest"] = bytes.Replace(m.Bytes(), []byte(d.String()), []byte(config.DigestOf(string(data)).String()), 1)
+	}
+}
+
 // place is one instance of a test fleet.
 type place struct {
 	name, domain, service string
 	target                http.HandlerFunc
+	flags                 []string
 }
 
 // running is a node under test with its target.
@@ -151,12 +167,12 @@
 		}
 	}))
 	t.Cleanup(target.Close)
-	s, err := ParseSettings([]string{
+	s, err := ParseSettings(append([]string{
 		"--name", p.name, "--domain", p.domain, "--service", p.service, "--target", target.URL,
 		"--caller", "127.0.0.1:0", "--peer", "127.0.0.1:0", "--control", "127.0.0.1:0", "--admin", "127.0.0.1:0",
 		"--config", platformURL, "--list", platformURL, "--log", "error", "--grace", "10s",
 		"--cert", filepath.Join(dir, "cert.pem"), "--key", filepath.Join(dir, "key.pem"), "--ca", filepath.Join(dir, "cert.pem"),
-	})
+	}, p.flags...))
 	require.NoError(t, err)
 	n, err := New(s, PolicyFromEnv(func(string) string { return "" }), io.Discard)
 	require.NoError(t, err)
--- /dev/null
+++ b/node/daemon/listen.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+)
+
+type listeners struct{ caller, peer, control, admin net.Listener }
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		flag    string
+		address netip.AddrPort
+		to      *net.Listener
+	}{
+		{"--caller", n.settings.Caller, &n.listeners.caller},
+		{"--peer", n.settings.Peer, &n.listeners.peer},
+		{"--control", n.settings.Control, &n.listeners.control},
+		{"--admin", n.settings.Admin, &n.listeners.admin},
+	} {
+		if !l.address.IsValid() {
+			continue
+		}
+		opened, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return UnusableError{Flag: l.flag, Err: fmt.Errorf("%w: choose a free address of this machine", err)}
+		}
+		*l.to = opened
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.listeners.caller, n.listeners.peer, n.listeners.control, n.listeners.admin} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// CallerAddress returns the address on which callers are accepted.
+func (n *Node) CallerAddress() string { return n.listeners.caller.Addr().String() }
--- a/node/daemon/main.go
+++ b/node/daemon/main.go
@@ -6,9 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
+
+	"google.golang.org/grpc/grpclog"
+
+	"verbenapin.dev/node/journal"
 )
 
 // Main runs a node until SIGTERM or SIGINT and returns its exit code.
@@ -33,9 +38,17 @@
 	if err != nil {
 		return err
 	}
+	divertLibraries(n.journal)
 	return n.Run(ctx)
 }
 
+// divertLibraries sends what libraries print on standard error to the log; it holds for the whole process.
+func divertLibraries(j *journal.Journal) {
+	log.SetFlags(0)
+	log.SetOutput(j.Library("library").Writer())
+	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, j.Library("grpc").Writer()))
+}
+
 // printEnd prints what ended the node; help goes to the standard output.
 func printEnd(stdout, stderr io.Writer, err error) {
 	var help HelpError
--- /dev/null
+++ b/node/daemon/probe.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+func (n *Node) probeBudget() float64 {
+	budget := 0.0
+	for _, r := range n.store.Snapshot().Tree().Routes() {
+		if r.Service == n.settings.Service && (budget == 0 || r.Probe < budget) {
+			budget = r.Probe
+		}
+	}
+	return budget
+}
+
+// probePath is where targets answer probes.
+const probePath = "/probe"
+
+func (n *Node) probe(ctx context.Context) (time.Duration, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.settings.Target.JoinPath(probePath).String(), nil)
+	if err != nil {
+		return 0, fmt.Errorf("daemon: making a probe: %w", err)
+	}
+	begun := n.clock.Now()
+	res, err := n.transport.RoundTrip(r)
+	if err != nil {
+		n.metrics.Probed("lost")
+		return n.clock.Now().Sub(begun), err
+	}
+	n.metrics.Probed(probeResult(res.StatusCode))
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return n.clock.Now().Sub(begun), nil
+}
+
+func probeResult(status int) string {
+	if status >= http.StatusInternalServerError {
+		return "failed"
+	}
+	return "answered"
+}
--- a/node/daemon/settings.go
+++ b/node/daemon/settings.go
@@ -47,6 +47,7 @@
 	CA      string `long:"ca" env:"VERBENAPIN_CA" value-name:"FILE" description:"Certificates of the authorities that sign the nodes of the fleet (PEM)"`
 	Grace   string `long:"grace" env:"VERBENAPIN_GRACE" value-name:"TIME" default:"30s" description:"Longest graceful shutdown, with unit, at least 3s and at most 1h"`
 	Log     string `long:"log" env:"VERBENAPIN_LOG" value-name:"LEVEL" default:"info" description:"Lowest level to log: debug, info, warn or error"`
+	Slow    string `long:"slow" env:"VERBENAPIN_SLOW" value-name:"TIME" default:"250ms" description:"Requests whose response head takes longer are logged with their stages; 0s logs none"`
 	Trace   string `long:"trace" env:"VERBENAPIN_TRACE" value-name:"URL" description:"OTLP endpoint for spans (OTLP over HTTP), such as http://127.0.0.1:4318, to which /v1/traces is added if it has no path; without it no span is recorded"`
 	Sample  string `long:"sample" env:"VERBENAPIN_SAMPLE" value-name:"PERCENT" default:"1%" description:"Share of requests to trace when the caller has not decided, 0% to 100%"`
 	Check   bool   `long:"check" env:"VERBENAPIN_CHECK" description:"Check the settings, print all faults and exit without starting anything"`
@@ -70,8 +71,9 @@
 	CA      string
 	Grace   time.Duration
 	Log     logrus.Level
-	Trace   *url.URL // nil if tracing is off
-	Sample  float64  // share of requests, 0 to 1
+	Slow    time.Duration // zero logs no slow requests
+	Trace   *url.URL      // nil if tracing is off
+	Sample  float64       // share of requests, 0 to 1
 	Check   bool
 }
 
@@ -138,6 +140,7 @@
 		List:    c.url("list", f.List, f.Tree == "", "http", "https"),
 		Grace:   c.grace(f.Grace),
 		Log:     c.level(f.Log),
+		Slow:    c.slow(f.Slow),
 		Trace:   c.url("trace", f.Trace, false, "http", "https"),
 		Sample:  c.share("sample", f.Sample),
 		Check:   f.Check,
@@ -238,6 +241,14 @@
 	return d
 }
 
+func (c *checker) slow(value string) time.Duration {
+	d, err := time.ParseDuration(value)
+	if err != nil || d < 0 {
+		c.fault("--slow", fmt.Sprintf("%q is not a time", value), "use a number with unit, such as 250ms, or 0s to log no slow requests")
+	}
+	return d
+}
+
 func (c *checker) level(value string) logrus.Level {
 	switch value {
 	case "debug", "info", "warn", "error":
--- a/node/daemon/state.go
+++ b/node/daemon/state.go
@@ -26,8 +26,14 @@
 	if n.isLeaving() {
 		return false, "the node is leaving"
 	}
-	v := n.store.Verdict()
-	return v.Code == config.Serve, v.Reason
+	if v := n.store.Verdict(); v.Code != config.Serve {
+		return false, v.Reason
+	}
+	// Until then a node by itself, or a fleet that starts as a whole, refuses every request that needs a key.
+	if n.store.Snapshot().IsHome() && !n.limiter.Lends() {
+		return false, "this home does not lend tokens yet, because loans of an earlier run may still be valid"
+	}
+	return true, ""
 }
 
 func (n *Node) state(context.Context) (report.State, error) {
@@ -41,7 +47,8 @@
 		Ready: ready, Reason: reason,
 		Version: v.Number(), Digest: v.Digest().String(),
 		Verdict: string(v.Verdict(now).Code), Age: v.EvidenceAge(now).Milliseconds(),
-		Out: v.Tree().Fleet().Out, Home: v.IsHome(), Leaving: n.isLeaving(),
+		Reject: n.store.Rejection(),
+		Out:    v.Tree().Fleet().Out, Home: v.IsHome(), Leaving: n.isLeaving(),
 		Load: report.Load{
 			Running: load.Running, Queued: load.Queued, Limit: load.Limit,
 			Service: float64(load.Service) / float64(time.Millisecond), Failing: load.Failing,
@@ -61,7 +68,8 @@
 				continue
 			}
 			out = append(out, report.Peer{
-				Name: row.Name, Domain: row.Domain, Service: row.Service, State: stateOf(status), Seen: seen(now, view, row.Name),
+				Name: row.Name, Domain: row.Domain, Service: row.Service, State: stateOf(status),
+				Version: view.Version(row.Name), Seen: seen(now, view, row.Name),
 			})
 		}
 	}
--- /dev/null
+++ b/node/daemon/trace.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/caller"
+	"verbenapin.dev/node/journal"
+	"verbenapin.dev/node/operator"
+	"verbenapin.dev/node/otlp"
+	"verbenapin.dev/node/target"
+)
+
+func (n *Node) newTracer() (*otlp.Tracer, error) {
+	return otlp.New(context.Background(), otlp.Options{
+		Endpoint: n.settings.Trace, Sample: n.settings.Sample,
+		Name: n.settings.Name, Domain: n.settings.Domain, Service: n.settings.Service,
+		Fault: func(err error) { n.journal.Warn("spans could not be sent", journal.Cause(err)) },
+	})
+}
+
+// begun starts the span of a caller's request.
+func (n *Node) begun(ctx context.Context, h http.Header) context.Context {
+	ctx, _ = n.tracer.Start(n.tracer.Join(ctx, h), otlp.HopCaller)
+	return ctx
+}
+
+func (n *Node) endSpan(span otlp.Span, r caller.Result) {
+	span.Request(r.ID, r.Route, r.Account)
+	switch {
+	case r.Refusal != nil:
+		span.Refused(*r.Refusal)
+	case r.Broken != nil:
+		span.Failed("response broke off")
+	default:
+		span.Answered(r.Status)
+	}
+	span.End()
+}
+
+// try sends one attempt, with a span until the head of its response.
+func (n *Node) try(call target.Call, service string, tried []string) (string, target.Reply, error) {
+	ctx, span := n.tracer.Start(call.Request.Context(), otlp.HopPeer)
+	if span.On() {
+		call.Request = call.Request.WithContext(ctx)
+		span.Inject(call.Request.Header)
+	}
+	name, reply, err := n.dispatcher.Try(call, service, tried)
+	n.metrics.Waited(operator.StageChoice, reply.Stages.Choice)
+	if reply.Stages.Hop > 0 {
+		n.metrics.Waited(operator.StageHop, reply.Stages.Hop)
+	}
+	span.Attempt(len(tried) + 1)
+	span.Chosen(name, reply.Stages.Reason, reply.Stages.Expected)
+	endHop(span, reply, err)
+	return name, reply, err
+}
+
+// atGate runs an attempt at this node's target, with a span until the end of the response.
+func (n *Node) atGate(call target.Call) (target.Reply, error) {
+	ctx, span := n.tracer.Start(n.tracer.Join(call.Request.Context(), call.Request.Header), otlp.HopGate)
+	if span.On() {
+		call.Request = call.Request.WithContext(ctx)
+	}
+	reply, err := n.gate.Do(call)
+	n.metrics.Waited(operator.StageQueue, reply.Stages.Queue)
+	if reply.Stages.Target > 0 {
+		n.metrics.Waited(operator.StageTarget, reply.Stages.Target)
+	}
+	span.Request(call.Request.Header.Get(answer.HeaderRequestID), call.Route, call.Account)
+	span.Queued(reply.Stages.Queue)
+	span.Served(reply.Stages.Target)
+	if err != nil || !span.On() {
+		endHop(span, reply, err)
+		return reply, err
+	}
+	span.Answered(reply.Response.StatusCode)
+	reply.Response.Body = &spanBody{ReadCloser: reply.Response.Body, span: span}
+	return reply, nil
+}
+
+// roundTrip sends a request to the target, with a span until the head of its response.
+func (n *Node) roundTrip(r *http.Request) (*http.Response, error) {
+	ctx, span := n.tracer.Start(r.Context(), otlp.HopTarget)
+	if !span.On() {
+		return n.transport.RoundTrip(r)
+	}
+	defer span.End()
+	r = r.WithContext(ctx)
+	span.Inject(r.Header)
+	res, err := n.transport.RoundTrip(r)
+	if err != nil {
+		span.Failed("no response")
+		return nil, err
+	}
+	span.Answered(res.StatusCode)
+	return res, nil
+}
+
+// endHop ends a span with the outcome of an attempt.
+func endHop(span otlp.Span, reply target.Reply, err error) {
+	var refused answer.Refusal
+	switch {
+	case errors.As(err, &refused):
+		span.Refused(refused)
+	case err != nil:
+		span.Failed("no response")
+	default:
+		span.Answered(reply.Response.StatusCode)
+	}
+	span.End()
+}
+
+// spanBody ends a span when the response is no longer used.
+type spanBody struct {
+	io.ReadCloser
+	once sync.Once
+	span otlp.Span
+}
+
+// Close closes the body.
+func (b *spanBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.span.End)
+	return err
+}
--- /dev/null
+++ b/node/daemon/traffic.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"verbenapin.dev/node/caller"
+	"verbenapin.dev/node/instance"
+	"verbenapin.dev/node/instance/rpc"
+	"verbenapin.dev/node/operator"
+	"verbenapin.dev/node/peer"
+	"verbenapin.dev/node/target"
+)
+
+// firstConns bounds the connections to the target, as stated for the first targets.
+const firstConns = 260
+
+// assembleTraffic builds the way of requests: callers, dispatcher, hop between nodes, gate, target.
+func (n *Node) assembleTraffic() {
+	s := n.settings
+	n.transport = target.NewTransport(s.Target, firstConns)
+	n.admission = target.NewAdmission(n.loop, n.clock, n.policy.Arrive, n.probeBudget, n.probe)
+	n.gate = target.NewServer(n.clock.Now, n.store.Current, n.admission.Admit, n.admission.Load, n.roundTrip)
+	if n.identity != nil {
+		n.pool = rpc.NewPool(dialOptions(n.identity)...)
+		n.client = peer.NewClient(n.clock.Now, n.identity.ClientConfig("h2"), n.addressOf)
+		n.peers = peer.NewServer(n.clock.Now, n.identity.ServerConfig("h2"), n.atGate, n.admission.Load, n.journal.Library("peer"))
+		n.control = n.newControl()
+	}
+	n.dispatcher = peer.NewDispatcher(
+		peer.Self{Name: s.Name, Domain: s.Domain}, n.loop, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		n.policy.Choose, n.candidates, n.domainsOut, n.atGate, n.remote,
+	)
+	n.callers = caller.NewServer(n.clock.Now, n.store.Current, n.spend,
+		caller.Tries{Try: n.try, Retry: n.dispatcher.Retry}, n.events(), n.journal.Library("caller"))
+	n.operators = operator.New(n.listeners.admin, operator.Seams{
+		Health: n.health, Ready: n.ready, State: n.state, Explain: n.explain, Metrics: n.metrics.Handler(),
+		Faults: n.journal.Library("admin"),
+	})
+}
+
+func (n *Node) remote(name string, call target.Call) (target.Reply, error) {
+	return n.client.Do(name, call)
+}
+
+func (n *Node) addressOf(name string) (string, bool) {
+	row, ok := n.members.Snapshot().Row(name)
+	return row.Peer, ok
+}
+
+// candidates returns the instances of a service that are not known to leave.
+func (n *Node) candidates(service string) []peer.Candidate {
+	if n.settings.Alone() {
+		if service != n.settings.Service {
+			return nil
+		}
+		return []peer.Candidate{{Name: n.settings.Name, Domain: n.settings.Domain}}
+	}
+	view, now := n.members.Snapshot(), n.clock.Now()
+	var out []peer.Candidate
+	for _, row := range view.Service(service) {
+		if view.Status(now, row.Name) != instance.Going {
+			out = append(out, peer.Candidate{Name: row.Name, Domain: row.Domain})
+		}
+	}
+	return out
+}
+
+func (n *Node) domainsOut() []string { return n.store.Snapshot().Tree().Fleet().Out }
+
+func (n *Node) spend(ctx context.Context, name string) (caller.Pass, error) {
+	pass, err := n.limiter.Spend(ctx, name)
+	if err != nil {
+		return caller.Pass{}, err
+	}
+	return caller.Pass{Confirm: pass.Confirm, Refund: pass.Refund, Settle: pass.Settle}, nil
+}
--- a/node/operator/metrics.go
+++ b/node/operator/metrics.go
@@ -50,7 +50,8 @@
 		"denied":   {help: "Refused requests, by account and code.", labels: []string{"account", "code"}},
 		"retried":  {help: "Attempts after the first one, by route.", labels: []string{"route"}},
 		"hedged":   {help: "Hedged attempts, by route.", labels: []string{"route"}},
-		"probes":   {help: "Probes sent to the target."},
+		"broken":   {help: "Responses that did not reach the caller completely, by route and the side that broke off.", labels: []string{"route", "side"}},
+		"probes":   {help: "Probes sent to the target, by result.", labels: []string{"result"}},
 	}
 	gauges = map[string]description{
 		"version": {help: "Number of the configuration version in force."},
@@ -157,8 +158,11 @@
 // Hedged counts a hedged attempt.
 func (m *Metrics) Hedged(route string) { m.count("hedged", route, "", "") }
 
-// Probed counts a probe that was sent to the target.
-func (m *Metrics) Probed() { m.count("probes", "", "", "") }
+// Broken counts a response that did not reach the caller completely; side is the one that broke off.
+func (m *Metrics) Broken(route, side string) { m.count("broken", route, side, "") }
+
+// Probed counts a probe of the target by its result.
+func (m *Metrics) Probed(result string) { m.count("probes", result, "", "") }
 
 // Waited records the time that a request spent in a stage.
 func (m *Metrics) Waited(stage Stage, d time.Duration) {
--- a/node/operator/metrics_test.go
+++ b/node/operator/metrics_test.go
@@ -37,8 +37,8 @@
 		"refused": {event: func(m *Metrics) { m.Refused("history", "lombardia", answer.MaybeRun(answer.Lost, "")) }, want: []string{
 			`verbenapin_refused{code="lost",route="history",run="maybe"} 1`, `verbenapin_denied{account="lombardia",code="lost"} 1`,
 		}},
-		"attempts": {event: func(m *Metrics) { m.Retried("history"); m.Hedged("history"); m.Hedged("history"); m.Probed() }, want: []string{
-			`verbenapin_retried{route="history"} 1`, `verbenapin_hedged{route="history"} 2`, `verbenapin_probes 1`,
+		"attempts": {event: func(m *Metrics) { m.Retried("history"); m.Hedged("history"); m.Hedged("history"); m.Probed("lost") }, want: []string{
+			`verbenapin_retried{route="history"} 1`, `verbenapin_hedged{route="history"} 2`, `verbenapin_probes{result="lost"} 1`,
 		}},
 		"wait": {event: func(m *Metrics) { m.Waited(StageQueue, 600*time.Microsecond) }, want: []string{
 			`verbenapin_wait_bucket{stage="queue",le="0.0004"} 0`, `verbenapin_wait_bucket{stage="queue",le="0.00068"} 1`,
--- a/node/operator/server.go
+++ b/node/operator/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -35,6 +36,8 @@
 	Explain func(ctx context.Context, q report.Query) ([]report.Fact, error)
 	// Metrics serves the metrics.
 	Metrics http.Handler
+	// Faults takes what the HTTP library reports.
+	Faults *log.Logger
 }
 
 // Server answers on the admin listener.
@@ -61,7 +64,7 @@
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	s.http = &http.Server{Handler: mux, ErrorLog: seams.Faults, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	return s
 }
 
--- a/node/otlp/span.go
+++ b/node/otlp/span.go
@@ -36,6 +36,12 @@
 // Span records one hop; the zero Span records nothing.
 type Span struct{ span trace.Span }
 
+// Current returns the span of the hop that ctx belongs to.
+func Current(ctx context.Context) Span { return Span{span: trace.SpanFromContext(ctx)} }
+
+// On tells whether the span was started, so that the next hop can be joined to it.
+func (s Span) On() bool { return s.span != nil }
+
 // Inject makes the span the parent of the next hop's span.
 // It leaves tracestate as it is, because the proxy passes it on and retries are marked there.
 func (s Span) Inject(h http.Header) {
@@ -68,6 +74,13 @@
 	}
 }
 
+// Served sets the time that the target took until the head of its response.
+func (s Span) Served(d time.Duration) {
+	if s.recording() {
+		s.span.SetAttributes(attribute.Float64("served", milliseconds(d)))
+	}
+}
+
 // Attempt sets the number of the attempt, from 1.
 func (s Span) Attempt(n int) {
 	if s.recording() {
@@ -90,6 +103,13 @@
 	}
 }
 
+// Failed marks the hop as failed without a refusal.
+func (s Span) Failed(reason string) {
+	if s.recording() {
+		s.span.SetStatus(codes.Error, reason)
+	}
+}
+
 // End ends the hop.
 func (s Span) End() {
 	if s.span != nil {
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -122,9 +122,9 @@
 	if load, err := target.ParseLoad(res.Header.Get(answer.HeaderLoad)); err == nil {
 		r.Load, r.Reported = load, true
 	}
-	if us, err := strconv.ParseInt(res.Header.Get(answer.HeaderTook), 10, 64); err == nil && us > 0 {
-		r.Took = time.Duration(us) * time.Microsecond
-	}
+	r.Took = microseconds(res.Header, answer.HeaderTook)
+	r.Stages.Queue = microseconds(res.Header, answer.HeaderQueue)
+	r.Stages.Target = max(0, r.Took-r.Stages.Queue)
 	refused, ok, err := answer.Read(res)
 	if !ok {
 		r.Response = res
@@ -137,5 +137,14 @@
 	return r, refused
 }
 
+// microseconds returns the time in a header, zero if there is none.
+func microseconds(h http.Header, name string) time.Duration {
+	us, err := strconv.ParseInt(h.Get(name), 10, 64)
+	if err != nil || us < 0 {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
 // Close closes the connections that are not in use.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -61,13 +61,19 @@
 // Try sends an attempt to a target of the service that is not in tried. It returns the target's name, empty if
 // there was none to try; its error is an answer.Refusal.
 func (d *Dispatcher) Try(call target.Call, service string, tried []string) (string, target.Reply, error) {
+	arrived := time.Now()
 	choice, err := d.pick(call.Request.Context(), call.Route, service, tried)
+	begun := time.Now()
 	if err != nil {
-		return "", target.Reply{}, err
+		return "", target.Reply{Stages: target.Stages{Choice: begun.Sub(arrived)}}, err
 	}
-	begun := time.Now()
 	reply, err := d.send(choice.Name, call)
-	d.learn(call, choice.Name, reply, err, time.Since(begun))
+	took := time.Since(begun)
+	d.learn(call, choice.Name, reply, err, took)
+	reply.Stages.Reason, reply.Stages.Expected, reply.Stages.Choice = string(choice.Reason), choice.Wait, begun.Sub(arrived)
+	if choice.Name != d.self.Name {
+		reply.Stages.Hop = took
+	}
 	return choice.Name, reply, err
 }
 
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -27,8 +28,11 @@
 	load func() target.Load
 }
 
-// NewServer returns a server; do admits and runs an attempt, load reports the state of the gate.
-func NewServer(now func() time.Time, cfg *tls.Config, do func(target.Call) (target.Reply, error), load func() target.Load) *Server {
+// NewServer returns a server; do admits and runs an attempt, load reports the state of the gate, and faults takes
+// what the HTTP library reports.
+func NewServer(
+	now func() time.Time, cfg *tls.Config, do func(target.Call) (target.Reply, error), load func() target.Load, faults *log.Logger,
+) *Server {
 	s := &Server{now: now, do: do, load: load}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(true)
@@ -36,6 +40,7 @@
 		Handler:           http.HandlerFunc(s.serve),
 		TLSConfig:         cfg,
 		Protocols:         protocols,
+		ErrorLog:          faults,
 		ReadHeaderTimeout: headTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
 		HTTP2: &http.HTTP2Config{
@@ -66,7 +71,7 @@
 	begun := s.now()
 	call, err := decode(r, begun)
 	if err != nil {
-		s.refuse(w, answer.NotRun(answer.Path, err.Error()))
+		s.refuse(w, answer.NotRun(answer.Path, err.Error()), 0)
 		return
 	}
 	ctx := httptrace.WithClientTrace(r.Context(), answer.Informational(w))
@@ -77,17 +82,23 @@
 		if !errors.As(err, &refused) {
 			refused = answer.MaybeRun(answer.Lost, err.Error())
 		}
-		s.refuse(w, refused)
+		s.refuse(w, refused, reply.Stages.Queue)
 		return
 	}
+	setMicroseconds(w.Header(), answer.HeaderQueue, reply.Stages.Queue)
 	w.Header().Set(answer.HeaderLoad, s.load().String())
-	w.Header().Set(answer.HeaderTook, strconv.FormatInt(s.now().Sub(begun).Microseconds(), 10))
+	setMicroseconds(w.Header(), answer.HeaderTook, s.now().Sub(begun))
 	if err := answer.Relay(w, reply.Response); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func (s *Server) refuse(w http.ResponseWriter, r answer.Refusal) {
+func setMicroseconds(h http.Header, name string, d time.Duration) {
+	h.Set(name, strconv.FormatInt(d.Microseconds(), 10))
+}
+
+func (s *Server) refuse(w http.ResponseWriter, r answer.Refusal, queued time.Duration) {
+	setMicroseconds(w.Header(), answer.HeaderQueue, queued)
 	w.Header().Set(answer.HeaderLoad, s.load().String())
 	answer.Write(w, r, "")
 }
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -23,6 +23,17 @@
 	Load     Load
 	Reported bool          // Load comes from the gate of this attempt
 	Took     time.Duration // time at the target's node until the head of the response
+	Stages   Stages
+}
+
+// Stages tell operators where the time of an attempt went; no decision depends on them.
+type Stages struct {
+	Reason   string        // why the target was chosen
+	Expected time.Duration // wait that was expected there
+	Choice   time.Duration // choosing the target
+	Hop      time.Duration // from sending to another node until the head of its response
+	Queue    time.Duration // waiting in the gate's queue
+	Target   time.Duration // from sending to the target until the head of its response
 }
 
 // IsEmpty tells whether a request has no body.
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -37,12 +37,16 @@
 	if err := s.check(c); err != nil {
 		return Reply{Load: s.load(), Reported: true}, err
 	}
+	arrived := s.now()
 	finish, err := s.admit(c.Request.Context(), Ticket{Account: c.Account, Deadline: c.Deadline})
+	begun := s.now()
+	stages := Stages{Queue: begun.Sub(arrived)}
 	if err != nil {
-		return Reply{Load: s.load(), Reported: true}, err
+		return Reply{Load: s.load(), Reported: true, Stages: stages}, err
 	}
 	res, err := s.run(c, finish) //nolint:bodyclose // the receiver of the Reply closes it
-	return Reply{Response: res, Load: s.load(), Reported: true}, err
+	stages.Target = s.now().Sub(begun)
+	return Reply{Response: res, Load: s.load(), Reported: true, Stages: stages}, err
 }
 
 // check applies the rules of this node's own configuration, which may be newer than the sender's.
