Name cause and action of a start or a service that fails

Change: every unusable flag names what to do; the node's own certificate is verified at the start and at each reload; each control activity has a message of its own with an action, written once in 10 s with the number of repeats.

--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -100,9 +100,25 @@
 	return config.New(s), nil
 }
 
+// faults tell for each control activity what its failure means and what to do.
+var faults = map[string]journal.Message{
+	"reading the manifest":      "configuration service gave no manifest: check --config and the service",
+	"reading the instance list": "instance list could not be read: check --list and its service",
+	"heartbeat":                 "two manifests have one version: publish the right one under a higher number",
+	"offer":                     "two manifests have one version: publish the right one under a higher number",
+	"fetching a manifest":       "manifest of another node could not be fetched: check the connections between nodes",
+	"fetching a version":        "version could not be fetched: publish all its parts, and check the connections between nodes",
+	"building a version":        "version was rejected: check the declarations with verbctl check",
+	"offering a version":        "version could not be offered: check the connections between nodes",
+}
+
 // failed logs the failure of a control activity.
 func (n *Node) failed(what string, err error) {
-	n.journal.Warn("control activity failed", journal.Part(what), journal.Cause(err))
+	message, ok := faults[what]
+	if !ok {
+		message = "control activity failed"
+	}
+	n.journal.Lasting(message, journal.Cause(err))
 }
 
 // onTree passes a new tree to the other slices; it runs on the control goroutine.
--- a/node/daemon/exit.go
+++ b/node/daemon/exit.go
@@ -17,10 +17,11 @@
 type UnusableError struct {
 	Flag string // the flag that gave the value, with its hyphens
 	Err  error
+	Todo string // what the operator can do
 }
 
 func (e UnusableError) Error() string {
-	return fmt.Sprintf("daemon: %s is unusable: %v", e.Flag, e.Err)
+	return fmt.Sprintf("daemon: %s is unusable: %v: %s", e.Flag, e.Err, e.Todo)
 }
 
 // Unwrap returns the cause.
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -65,13 +65,13 @@
 	leaving   chan struct{}
 }
 
-// New opens the listeners and assembles a node; its error is an UnusableError, or a fault of the configuration file.
+// New opens the listeners and assembles a node; its error is an UnusableError.
 func New(s Settings, p Policy, log io.Writer) (*Node, error) {
 	n := &Node{settings: s, policy: p, boot: rand.Uint32(), clock: clock.New(), leaving: make(chan struct{})}
 	if !s.Alone() {
-		identity, err := peer.NewIdentity(s.Cert, s.Key, s.CA)
+		identity, err := peer.NewIdentity(s.Name, s.Cert, s.Key, s.CA)
 		if err != nil {
-			return nil, UnusableError{Flag: "--cert, --key or --ca", Err: err}
+			return nil, UnusableError{Flag: "--cert, --key or --ca", Err: err, Todo: `see "Certificates" in docs/operators.md`}
 		}
 		n.identity = identity
 	}
@@ -96,7 +96,7 @@
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, UnusableError{Flag: "--tree", Err: err}
+		return nil, UnusableError{Flag: "--tree", Err: err, Todo: "give a readable file"}
 	}
 	return []config.File{{Name: path, Data: data}}, nil
 }
@@ -115,7 +115,10 @@
 	n.platform = &http.Client{}
 	n.members = instance.New(n.memberSettings())
 	if n.store, err = n.newStore(files); err != nil {
-		return err
+		_ = n.tracer.Close()
+		_ = n.metrics.Close()
+		n.journal.Close()
+		return UnusableError{Flag: "--tree", Err: err, Todo: "correct the file, and check it with verbctl check"}
 	}
 	n.limiter = account.New(s.Name, n.loop, n.clock, n.sendTake, n.mayMint)
 	n.store.OnChange(n.onTree)
@@ -142,7 +145,7 @@
 		}
 	}()
 	n.start()
-	n.journal.Info("node started", journal.Instance(n.settings.Name))
+	n.journal.Info("node started", journal.Address(n.settings.Caller))
 	<-ctx.Done()
 	return n.shutdown()
 }
--- a/node/daemon/shutdown.go
+++ b/node/daemon/shutdown.go
@@ -26,7 +26,7 @@
 func (n *Node) shutdown() error {
 	limit, cancel := context.WithTimeout(context.Background(), n.settings.Grace)
 	defer cancel()
-	n.journal.Info("node is leaving", journal.Took(n.settings.Grace))
+	n.journal.Info("node is leaving", journal.Within(n.settings.Grace))
 	close(n.leaving)
 	n.callers.Leave()
 	err := errors.Join(n.members.Leave(limit), n.admission.SetLeaving(limit, true))
--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -85,6 +85,9 @@
 // Took is a time that passed, in milliseconds.
 func Took(d time.Duration) Field { return Field{name: "took", value: milliseconds(d)} }
 
+// Within is the longest time that something may take, in milliseconds.
+func Within(d time.Duration) Field { return Field{name: "within", value: milliseconds(d)} }
+
 // Age is the age of evidence, in milliseconds.
 func Age(d time.Duration) Field { return Field{name: "age", value: milliseconds(d)} }
 
--- a/node/journal/journal.go
+++ b/node/journal/journal.go
@@ -70,13 +70,16 @@
 }
 
 // Info writes a line about a change that operators expect.
-func (j *Journal) Info(m Message, fields ...Field) { j.limited(logrus.InfoLevel, m, fields) }
+func (j *Journal) Info(m Message, fields ...Field) { j.limited(logrus.InfoLevel, most, m, fields) }
 
 // Warn writes a line about a fault that the node handles.
-func (j *Journal) Warn(m Message, fields ...Field) { j.limited(logrus.WarnLevel, m, fields) }
+func (j *Journal) Warn(m Message, fields ...Field) { j.limited(logrus.WarnLevel, most, m, fields) }
+
+// Lasting writes a line about a fault that is found again until it is repaired, once in a period.
+func (j *Journal) Lasting(m Message, fields ...Field) { j.limited(logrus.WarnLevel, 1, m, fields) }
 
 // Error writes a line about a fault that needs an operator.
-func (j *Journal) Error(m Message, fields ...Field) { j.limited(logrus.ErrorLevel, m, fields) }
+func (j *Journal) Error(m Message, fields ...Field) { j.limited(logrus.ErrorLevel, most, m, fields) }
 
 // Library returns a logger for a library that writes text of its own.
 // Only TLS handshake errors keep their text, because others may quote a request or a response.
@@ -90,13 +93,13 @@
 	j.report()
 }
 
-func (j *Journal) limited(level logrus.Level, m Message, fields []Field) {
+func (j *Journal) limited(level logrus.Level, n int, m Message, fields []Field) {
 	if !j.log.IsLevelEnabled(level) {
 		return
 	}
 	k := subject{level: level, message: m, code: codeOf(fields)}
 	j.mu.Lock()
-	l, write := j.limits[k].WithLine()
+	l, write := j.limits[k].WithLine(n)
 	j.limits[k] = l
 	j.mu.Unlock()
 	if write {
--- a/node/journal/limit.go
+++ b/node/journal/limit.go
@@ -10,13 +10,17 @@
 )
 
 // Limit counts the lines with one level and text in the current period.
-type Limit struct{ lines int }
+type Limit struct{ lines, written int }
 
-// WithLine returns the limit after one more line, and whether to write it.
-func (l Limit) WithLine() (Limit, bool) {
+// WithLine returns the limit after one more line, and whether to write it because at most n were written.
+func (l Limit) WithLine(n int) (Limit, bool) {
 	l.lines++
-	return l, l.lines <= most
+	if l.written >= n {
+		return l, false
+	}
+	l.written++
+	return l, true
 }
 
 // Repeats returns the number of lines that were held back.
-func (l Limit) Repeats() int { return max(0, l.lines-most) }
+func (l Limit) Repeats() int { return l.lines - l.written }
--- a/node/peer/identity.go
+++ b/node/peer/identity.go
@@ -15,12 +15,17 @@
 }
 
 func (e IdentityError) Error() string {
-	return fmt.Sprintf("peer: certificate file %s: %v", e.Path, e.Err)
+	return fmt.Sprintf("peer: file %s: %v", e.Path, e.Err)
 }
 
 // Unwrap returns the cause.
 func (e IdentityError) Unwrap() error { return e.Err }
 
+// EmptyError reports a file of authorities without any certificate.
+type EmptyError struct{}
+
+func (EmptyError) Error() string { return "no certificate found" }
+
 type material struct {
 	cert  tls.Certificate
 	roots *x509.CertPool
@@ -28,34 +33,57 @@
 
 // Identity holds this node's certificate and the authority of the fleet; both can be replaced while it runs.
 type Identity struct {
+	name                      string
 	certFile, keyFile, caFile string
 	current                   atomic.Pointer[material]
 }
 
-// NewIdentity reads the files once.
-func NewIdentity(certFile, keyFile, caFile string) (*Identity, error) {
-	i := &Identity{certFile: certFile, keyFile: keyFile, caFile: caFile}
+// NewIdentity reads the files of the named instance once.
+func NewIdentity(name, certFile, keyFile, caFile string) (*Identity, error) {
+	i := &Identity{name: name, certFile: certFile, keyFile: keyFile, caFile: caFile}
 	return i, i.Reload()
 }
 
 // Reload reads the files again; after an error the earlier content stays in use.
 func (i *Identity) Reload() error {
-	cert, err := tls.LoadX509KeyPair(i.certFile, i.keyFile)
-	if err != nil {
-		return IdentityError{Path: i.certFile, Err: err}
+	var contents [3][]byte
+	for n, path := range []string{i.certFile, i.keyFile, i.caFile} {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return IdentityError{Path: path, Err: err}
+		}
+		contents[n] = data
 	}
-	pem, err := os.ReadFile(i.caFile)
+	cert, err := tls.X509KeyPair(contents[0], contents[1])
 	if err != nil {
-		return IdentityError{Path: i.caFile, Err: err}
+		return IdentityError{Path: i.certFile + " with " + i.keyFile, Err: err}
 	}
 	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(pem) {
-		return IdentityError{Path: i.caFile, Err: x509.CertificateInvalidError{Detail: "no certificate found"}}
+	if !roots.AppendCertsFromPEM(contents[2]) {
+		return IdentityError{Path: i.caFile, Err: EmptyError{}}
+	}
+	// Other nodes would refuse such a certificate at each connection.
+	if err := verify(cert, roots, i.name); err != nil {
+		return IdentityError{Path: i.certFile, Err: err}
 	}
 	i.current.Store(&material{cert: cert, roots: roots})
 	return nil
 }
 
+// verify checks the chain, the time and the name of a node's own certificate.
+func verify(cert tls.Certificate, roots *x509.CertPool, name string) error {
+	opts := x509.VerifyOptions{Roots: roots, DNSName: name, Intermediates: x509.NewCertPool()}
+	for _, der := range cert.Certificate[1:] {
+		c, err := x509.ParseCertificate(der)
+		if err != nil {
+			return err
+		}
+		opts.Intermediates.AddCert(c)
+	}
+	_, err := cert.Leaf.Verify(opts)
+	return err
+}
+
 // ServerConfig returns the settings of a listener that accepts only nodes of the fleet.
 func (i *Identity) ServerConfig(protocols ...string) *tls.Config {
 	return &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: protocols, GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
