Return the decisive refusal, and never 'not run' after an attempt that may have run

Cause: found while reading the log of a refused request. After an attempt on an idempotent route that broke off or was shed, a retry that found no other target, or was refused by a gate, was answered as 'busy, run no', although the first attempt may have run (invariant 7). After a refusal by a gate, such a retry also replaced the gate's reason and time with 'no target can be tried now'.

Change: Final takes the refusals of all attempts: run is maybe if any attempt may have run, and a last attempt without a target gives way to the one before it. The stages of the request stay those of the last attempt that had a target.

Conclusion: TestRetryWithoutTarget failed before with 'busy, no' for both cases and passes now; TestFinal holds the decision.

--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -23,6 +23,7 @@
 	deadline := deadlineOf(*q)
 	state := q.Header.Get("Tracestate")
 	var tried []string
+	var failures []answer.Refusal
 	settled := false
 	for {
 		if !settled {
@@ -35,7 +36,9 @@
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
 		name, reply, err := s.tries.Try(call, q.route.Service, tried)
-		q.result.Last = reply.Stages
+		if name != "" || len(tried) == 0 {
+			q.result.Last = reply.Stages
+		}
 		if name != "" {
 			q.result.Target, q.result.Attempts = name, len(tried)+1
 		}
@@ -48,12 +51,20 @@
 			return reply, nil
 		}
 		failed := Attempt{Run: answer.RunMaybe, Idempotent: q.route.Idempotent, Retrying: IsRetried(state)}
-		if refused.Code != "" {
-			failed.Run, failed.Code = refused.Run, refused.Code
+		switch {
+		case err == nil:
+			refused = answer.MaybeRun(answer.Busy, "the target shed the request")
+		case refused.Code == "":
+			refused = answer.MaybeRun(answer.Lost, err.Error())
 		}
+		failed.Run, failed.Code = refused.Run, refused.Code
+		failures = append(failures, refused)
 		tried = append(tried, name)
 		failed.Number, failed.Replayable, failed.Remaining = len(tried), body.replayable(), deadline.Sub(s.now())
 		if name == "" || !s.mayRetry(*q, failed) {
+			if err != nil {
+				err = Final(failures, name != "")
+			}
 			return reply, err
 		}
 		if reply.Response != nil {
--- a/node/caller/plan.go
+++ b/node/caller/plan.go
@@ -39,6 +39,22 @@
 	}
 }
 
+// Final returns the refusal for the caller from those of all attempts. A request may have run if any attempt may
+// have, and a last attempt that found no target says less than the one before it.
+func Final(attempts []answer.Refusal, found bool) answer.Refusal {
+	last := len(attempts) - 1
+	if !found && last > 0 {
+		last--
+	}
+	final := attempts[last]
+	for _, a := range attempts {
+		if a.Run != answer.RunNo {
+			final.Run = a.Run
+		}
+	}
+	return final
+}
+
 const (
 	stateKey  = "verbenapin"
 	stateMark = stateKey + "=r"
--- /dev/null
+++ b/node/caller/plan_test.go
@@ -0,0 +1,30 @@
+package caller
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/answer"
+)
+
+// TestFinal guards against a refusal that hides that an earlier attempt may have run, or why the last target refused.
+func TestFinal(t *testing.T) {
+	full, none := answer.NotRun(answer.Busy, "the queue is full"), answer.NotRun(answer.Busy, "no target can be tried now")
+	lost := answer.MaybeRun(answer.Lost, "the connection broke")
+	cases := map[string]struct {
+		attempts []answer.Refusal
+		found    bool
+		want     answer.Refusal
+	}{
+		"no target at all":           {attempts: []answer.Refusal{none}, want: none},
+		"refused by the last target": {attempts: []answer.Refusal{none, full}, found: true, want: full},
+		"no target after a refusal":  {attempts: []answer.Refusal{full, none}, want: full},
+		"no target after a loss":     {attempts: []answer.Refusal{lost, none}, want: lost},
+		"refused after a loss":       {attempts: []answer.Refusal{lost, full}, found: true, want: answer.MaybeRun(answer.Busy, "the queue is full")},
+		"refused between":            {attempts: []answer.Refusal{lost, full, none}, want: answer.MaybeRun(answer.Busy, "the queue is full")},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, Final(tc.attempts, tc.found)) })
+	}
+}
--- a/node/daemon/path_test.go
+++ b/node/daemon/path_test.go
@@ -303,6 +303,27 @@
 	}
 }
 
+// TestRetryWithoutTarget guards against a request that may have run and is refused as not run, because the attempt
+// after it found no other target.
+func TestRetryWithoutTarget(t *testing.T) {
+	t.Parallel()
+	entry, _ := twoNodes(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "shed" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	})
+	for query, code := range map[string]answer.Code{"shed": answer.Busy, "broken": answer.Lost} {
+		t.Run(query, func(t *testing.T) {
+			res, err := newCaller(t).Do(newRequest(t, http.MethodGet, entry.url("/read?"+query), nil))
+			require.NoError(t, err)
+			p := readProblem(t, res)
+			require.Equal(t, []any{code, answer.RunMaybe}, []any{p.Code, p.Run})
+		})
+	}
+}
+
 // TestDeadTarget guards against a refusal of a request that another target could have served.
 func TestDeadTarget(t *testing.T) {
 	t.Parallel()
