Learn no network time from the node's own target

Cause: an attempt at the node's own target has no time of a remote gate, so its whole service time was learnt as the network time of the node's failure domain, which made the domain's targets look farther than those of other domains.

Change: the dispatcher takes the whole time of such an attempt as spent at the target.

Conclusion: TestOwnTarget failed before.

--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -69,6 +69,9 @@
 	}
 	reply, err := d.send(choice.Name, call)
 	took := time.Since(begun)
+	if choice.Name == d.self.Name {
+		reply.Took = took // the node's own target is reached without a network trip
+	}
 	d.learn(call, choice.Name, reply, err, took)
 	reply.Stages.Reason, reply.Stages.Expected, reply.Stages.Choice = string(choice.Reason), choice.Wait, begun.Sub(arrived)
 	if choice.Name != d.self.Name {
--- /dev/null
+++ b/node/peer/dispatch_test.go
@@ -0,0 +1,38 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/loop"
+	"verbenapin.dev/node/target"
+)
+
+// TestOwnTarget guards against the service time of the node's own target that is learnt as the network time of its
+// failure domain.
+func TestOwnTarget(t *testing.T) {
+	l := loop.New(time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Serve(ctx) }()
+	defer func() { cancel(); <-ended }()
+	d := NewDispatcher(Self{Name: "a1", Domain: "a"}, l, rand.New(rand.NewPCG(1, 1)), Board.Choose,
+		func(string) []Candidate { return []Candidate{{Name: "a1", Domain: "a"}} }, func() []string { return nil },
+		func(target.Call) (target.Reply, error) {
+			return target.Reply{Response: &http.Response{Body: io.NopCloser(strings.NewReader(""))}, Reported: true}, nil
+		}, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "/", nil)
+	require.NoError(t, err)
+	name, reply, err := d.Try(target.Call{Request: r, Deadline: time.Now().Add(time.Minute)}, "app", nil)
+	require.NoError(t, err)
+	require.Equal(t, "a1", name)
+	require.NoError(t, reply.Response.Body.Close())
+	require.NoError(t, l.Call(ctx, func(time.Time) { require.Equal(t, firstTrip, d.board.Trip("a", "a")) }))
+}
