Let TestOwnTarget fail instead of waiting

Cause: with the fix taken out, the assertion failed on the control goroutine and the test waited for its time limit.

Change: the test reads the time on the control goroutine and asserts it on its own.

Conclusion: it fails at once with the fix taken out.

--- a/node/peer/dispatch_test.go
+++ b/node/peer/dispatch_test.go
@@ -34,5 +34,7 @@
 	require.NoError(t, err)
 	require.Equal(t, "a1", name)
 	require.NoError(t, reply.Response.Body.Close())
-	require.NoError(t, l.Call(ctx, func(time.Time) { require.Equal(t, firstTrip, d.board.Trip("a", "a")) }))
+	var trip time.Duration
+	require.NoError(t, l.Call(ctx, func(time.Time) { trip = d.board.Trip("a", "a") }))
+	require.Equal(t, firstTrip, trip)
 }
