Send requests between nodes over HTTP/1.1; never call a request not run after an attempt that may have run

Cause: a hop over HTTP/2 costs several writes and goroutine changes. A test of a broken short response showed a false "not run": after an attempt that was lost, the refusal of the next one was passed on. Ruled out: the control loop (3 to 4 microseconds a call) and the number of processors of a node.

--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -23,9 +24,9 @@
 	deadline := deadlineOf(*q)
 	state := q.Header.Get("Tracestate")
 	var tried []string
-	settled := false
+	var ran error // the last failure of an attempt that may have run
 	for {
-		if !settled {
+		if ran == nil {
 			if err := s.confirm(q); err != nil {
 				return target.Reply{}, err
 			}
@@ -35,21 +36,23 @@
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
 		name, reply, err := s.tries.Try(call, q.route.Service, tried)
-		var refused answer.Refusal
-		if (!errors.As(err, &refused) || refused.Run != answer.RunNo) && !settled {
+		run, failure := outcomeOf(reply, err)
+		if run != answer.RunNo {
 			q.pass.Settle()
-			settled = true
+			ran = failure
 		}
 		if err == nil && (reply.Response.StatusCode != http.StatusServiceUnavailable || !q.route.Idempotent) {
 			return reply, nil
 		}
-		failed := Attempt{Run: answer.RunMaybe, Idempotent: q.route.Idempotent, Retrying: IsRetried(state)}
-		if refused.Code != "" {
-			failed.Run, failed.Code = refused.Run, refused.Code
-		}
 		tried = append(tried, name)
-		failed.Number, failed.Replayable, failed.Remaining = len(tried), body.replayable(), deadline.Sub(s.now())
+		failed := Attempt{
+			Run: run, Code: failure.Code, Number: len(tried), Idempotent: q.route.Idempotent, Retrying: IsRetried(state),
+			Replayable: body.replayable(), Remaining: deadline.Sub(s.now()),
+		}
 		if name == "" || !s.mayRetry(*q, failed) {
+			if run == answer.RunNo && ran != nil {
+				return target.Reply{}, ran // an earlier attempt may have run, so the request is not "not run"
+			}
 			return reply, err
 		}
 		if reply.Response != nil {
@@ -58,6 +61,18 @@
 	}
 }
 
+// outcomeOf tells whether an attempt may have run, and describes its failure if it is to be repeated.
+func outcomeOf(reply target.Reply, err error) (answer.Run, answer.Refusal) {
+	var refused answer.Refusal
+	if errors.As(err, &refused) {
+		return refused.Run, refused
+	}
+	if err != nil {
+		return answer.RunMaybe, answer.MaybeRun(answer.Lost, err.Error())
+	}
+	return answer.RunMaybe, answer.MaybeRun(answer.Busy, fmt.Sprintf("the target answered with status %d", reply.Response.StatusCode))
+}
+
 // confirm makes sure that the account pays for a request that is forwarded now. After a long wait, for example for
 // a connection to a node that is paused, the request pays anew.
 func (s *Server) confirm(q *request) error {
--- /dev/null
+++ b/node/caller/attempt_test.go
@@ -0,0 +1,151 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/target"
+)
+
+// TestMain guards against goroutines that outlive a request.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var begin = time.Unix(1000, 0)
+
+// outcome is what one attempt returns.
+type outcome struct {
+	status int
+	err    error
+}
+
+func serve(t *testing.T, idempotent bool, outcomes []outcome, refunds, settles *int) *httptest.ResponseRecorder {
+	t.Helper()
+	tree := config.NewTree(1, config.Fleet{},
+		[]config.Route{{Name: "read", Host: "app.example", Path: "/", Service: "app", Idempotent: idempotent, Deadline: time.Second}},
+		[]config.Account{{Name: "one", Rate: 1, Burst: 1, Keys: []config.Digest{config.DigestOf("key")}, Routes: []string{"read"}}})
+	n := 0
+	try := func(target.Call, string, []string) (string, target.Reply, error) {
+		if n == len(outcomes) {
+			return "", target.Reply{}, answer.NotRun(answer.Busy, "no target is left")
+		}
+		o := outcomes[n]
+		n++
+		if o.err != nil {
+			return "a1", target.Reply{}, o.err
+		}
+		return "a1", target.Reply{Response: &http.Response{StatusCode: o.status, Header: http.Header{}, Body: http.NoBody}}, nil
+	}
+	spend := func(context.Context, string) (Pass, error) {
+		return Pass{
+			Confirm: func() error { return nil },
+			Refund:  func() { *refunds++ },
+			Settle:  func() { *settles++ },
+		}, nil
+	}
+	s := NewServer(func() time.Time { return begin }, func() (config.Tree, error) { return tree, nil }, spend,
+		Tries{Try: try, Retry: func(config.Route) bool { return true }}, Events{})
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "http://app.example/x", nil)
+	r.Header.Set("X-Api-Key", "key")
+	s.serve(w, r)
+	return w
+}
+
+// TestAttempts guards against a refusal that says "not run" although an earlier attempt may have run, against a
+// second run of a non-idempotent request, and against a token that is kept or returned wrongly.
+func TestAttempts(t *testing.T) {
+	notRun := outcome{err: answer.NotRun(answer.Busy, "full")}
+	lost := outcome{err: answer.MaybeRun(answer.Lost, "broke")}
+	unknown := outcome{err: errors.New("unknown")}
+	shed, good := outcome{status: 503}, outcome{status: 200}
+	cases := map[string]struct {
+		idempotent bool
+		outcomes   []outcome
+		status     int
+		run        answer.Run
+		refunds    int
+	}{
+		"answered":                       {outcomes: []outcome{good}, status: 200},
+		"not run, then answered":         {outcomes: []outcome{notRun, good}, status: 200},
+		"not run three times":            {outcomes: []outcome{notRun, notRun, notRun, good}, status: 503, run: answer.RunNo, refunds: 1},
+		"lost":                           {outcomes: []outcome{lost, good}, status: 502, run: answer.RunMaybe},
+		"lost on an idempotent route":    {idempotent: true, outcomes: []outcome{lost, good}, status: 200},
+		"lost, then no target":           {idempotent: true, outcomes: []outcome{lost}, status: 502, run: answer.RunMaybe},
+		"lost, then not run":             {idempotent: true, outcomes: []outcome{lost, notRun, notRun}, status: 502, run: answer.RunMaybe},
+		"shed":                           {outcomes: []outcome{shed, good}, status: 503},
+		"shed on an idempotent route":    {idempotent: true, outcomes: []outcome{shed, good}, status: 200},
+		"shed, then not run":             {idempotent: true, outcomes: []outcome{shed, notRun, notRun}, status: 503, run: answer.RunMaybe},
+		"unknown failure":                {outcomes: []outcome{unknown, good}, status: 502, run: answer.RunMaybe},
+		"not run, then lost":             {outcomes: []outcome{notRun, lost, good}, status: 502, run: answer.RunMaybe},
+		"not run, lost, then no attempt": {idempotent: true, outcomes: []outcome{notRun, lost, notRun}, status: 502, run: answer.RunMaybe},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			refunds, settles := 0, 0
+			w := serve(t, tc.idempotent, tc.outcomes, &refunds, &settles)
+			require.Equal(t, tc.status, w.Code)
+			require.Equal(t, string(tc.run), w.Header().Get(answer.HeaderRun))
+			require.Equal(t, tc.refunds, refunds)
+			require.Equal(t, tc.refunds == 0, settles > 0)
+		})
+	}
+}
+
+// TestMayRetry guards against an attempt that the plan does not allow.
+func TestMayRetry(t *testing.T) {
+	allowed := Attempt{Run: answer.RunNo, Code: answer.Busy, Number: 1, Replayable: true, Remaining: time.Second}
+	maybe := allowed
+	maybe.Run, maybe.Idempotent = answer.RunMaybe, true
+	with := func(a Attempt, change func(*Attempt)) Attempt { change(&a); return a }
+	cases := map[string]struct {
+		attempt       Attempt
+		allowed, paid bool
+	}{
+		"not run":                 {attempt: allowed, allowed: true},
+		"maybe run, idempotent":   {attempt: maybe, allowed: true, paid: true},
+		"maybe run":               {attempt: with(maybe, func(a *Attempt) { a.Idempotent = false }), paid: true},
+		"retried above":           {attempt: with(maybe, func(a *Attempt) { a.Retrying = true }), paid: true},
+		"not run, retried above":  {attempt: with(allowed, func(a *Attempt) { a.Retrying = true }), allowed: true},
+		"third attempt":           {attempt: with(allowed, func(a *Attempt) { a.Number = 3 })},
+		"body already read":       {attempt: with(allowed, func(a *Attempt) { a.Replayable = false })},
+		"no time left":            {attempt: with(allowed, func(a *Attempt) { a.Remaining = time.Millisecond })},
+		"deadline passed":         {attempt: with(allowed, func(a *Attempt) { a.Code = answer.Late })},
+		"key revoked at the gate": {attempt: with(allowed, func(a *Attempt) { a.Code = answer.Key })},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			ok, paid := MayRetry(tc.attempt)
+			require.Equal(t, tc.allowed, ok)
+			require.Equal(t, tc.paid, paid)
+		})
+	}
+}
+
+// TestTraceState guards against a mark of a repeated attempt that is lost, doubled or invented.
+func TestTraceState(t *testing.T) {
+	cases := map[string]struct {
+		state, marked string
+		retried       bool
+	}{
+		"empty":          {marked: "verbenapin=r"},
+		"other members":  {state: "a=1, b=2", marked: "verbenapin=r,a=1,b=2"},
+		"already marked": {state: "a=1,verbenapin=r", marked: "verbenapin=r,a=1", retried: true},
+		"other value":    {state: "verbenapin=x", marked: "verbenapin=r"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.retried, IsRetried(tc.state))
+			require.Equal(t, tc.marked, MarkRetried(tc.state))
+			require.True(t, IsRetried(MarkRetried(tc.state)))
+		})
+	}
+}
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -41,6 +41,7 @@
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
 	}
 }
 
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -183,8 +183,8 @@
 	n.gate = target.NewServer(n.clock.Now, n.store.Current, n.admission.Admit, n.admission.Load, n.transport.RoundTrip)
 	if n.identity != nil {
 		n.pool = rpc.NewPool(dialOptions(n.identity)...)
-		n.client = peer.NewClient(n.clock.Now, n.identity.ClientConfig("h2"), n.addressOf)
-		n.peers = peer.NewServer(n.clock.Now, n.identity.ServerConfig("h2"), n.gate.Do, n.admission.Load)
+		n.client = peer.NewClient(n.clock.Now, n.identity.ClientConfig("http/1.1"), n.addressOf)
+		n.peers = peer.NewServer(n.clock.Now, n.identity.ServerConfig("http/1.1"), n.gate.Do, n.admission.Load)
 		n.control = n.newControl()
 	}
 	n.dispatcher = peer.NewDispatcher(
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -21,13 +21,10 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 90 * time.Second
-	// pingAfter and pingTimeout find a paused or unreachable node within 2 s.
-	pingAfter   = time.Second
-	pingTimeout = time.Second
 	// continueTimeout exceeds the longest wait in a gate's queue, so that a body is sent only after admission.
 	continueTimeout = time.Second
-	streamBuffer    = 256 << 10
-	connBuffer      = 1 << 20
+	maxIdle         = 32
+	bufferSize      = 16 << 10
 	maxHeadBytes    = 80 << 10
 )
 
@@ -46,7 +43,7 @@
 func NewClient(now func() time.Time, cfg *tls.Config, address func(name string) (string, bool)) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	protocols := new(http.Protocols)
-	protocols.SetHTTP2(true)
+	protocols.SetHTTP1(true)
 	return &Client{now: now, http: &http.Transport{
 		DialContext: func(ctx context.Context, network, hostport string) (net.Conn, error) {
 			name, _, err := net.SplitHostPort(hostport)
@@ -66,20 +63,17 @@
 		IdleConnTimeout:        idleTimeout,
 		ExpectContinueTimeout:  continueTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
-		HTTP2: &http.HTTP2Config{
-			MaxReceiveBufferPerStream:     streamBuffer,
-			MaxReceiveBufferPerConnection: connBuffer,
-			SendPingTimeout:               pingAfter,
-			PingTimeout:                   pingTimeout,
-		},
+		MaxIdleConnsPerHost:    maxIdle,
+		ReadBufferSize:         bufferSize,
+		WriteBufferSize:        bufferSize,
 	}}
 }
 
-// Do sends one attempt to the node of instance name. Its error is an answer.Refusal.
+// Do sends one attempt to the node of instance name; it may change the attempt's headers. Its error is an answer.Refusal.
 func (c *Client) Do(name string, call target.Call) (target.Reply, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out := call.Request.Clone(httptrace.WithClientTrace(call.Request.Context(), trace))
+	out := call.Request.WithContext(httptrace.WithClientTrace(call.Request.Context(), trace))
 	out.RequestURI = ""
 	out.URL = &url.URL{
 		Scheme: "https", Host: name,
@@ -88,10 +82,6 @@
 	}
 	encode(out.Header, call, c.now())
 	target.PreventResend(out)
-	if out.Body == http.NoBody {
-		// HTTP/2 repeats any request without body after REFUSED_STREAM or GOAWAY, whatever its method.
-		out.Body = target.EmptyBody{}
-	}
 	res, err := c.http.RoundTrip(out)
 	if err != nil {
 		if cause := context.Cause(call.Request.Context()); cause != nil {
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -146,7 +146,7 @@
 		case gone:
 		case errors.As(err, &refused) && reply.Reported:
 			d.board = d.board.WithRefusal(now, name, refused, reply.Load)
-		case refused.Code != answer.Late:
+		default: // no answer, not even a late one, so the node may be paused or cut off
 			d.board = d.board.WithLost(now, name)
 		}
 		d.board = d.board.WithDone(now, name)
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -16,7 +16,6 @@
 
 const (
 	headTimeout = 5 * time.Second
-	maxStreams  = 1000
 )
 
 // Server accepts the requests of other nodes and hands them to the gate of this node's target.
@@ -31,18 +30,13 @@
 func NewServer(now func() time.Time, cfg *tls.Config, do func(target.Call) (target.Reply, error), load func() target.Load) *Server {
 	s := &Server{now: now, do: do, load: load}
 	protocols := new(http.Protocols)
-	protocols.SetHTTP2(true)
+	protocols.SetHTTP1(true)
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		TLSConfig:         cfg,
 		Protocols:         protocols,
 		ReadHeaderTimeout: headTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
-		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams:          maxStreams,
-			MaxReceiveBufferPerStream:     streamBuffer,
-			MaxReceiveBufferPerConnection: connBuffer,
-		},
 	}
 	return s
 }
--- a/node/target/buffer.go
+++ b/node/target/buffer.go
@@ -1,12 +1,15 @@
 package target
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
+
+	"verbenapin.dev/node/answer"
 )
 
 // bufferSize bounds the part of a response that is held for a slow reader; with it a response of up to
@@ -19,11 +22,29 @@
 var chunks = sync.Pool{New: func() any { b := make([]byte, chunkSize); return &b }}
 
 // readAhead returns the response with a body that is read ahead; its trailers are set when the body ends.
-func readAhead(res *http.Response, cancel context.CancelFunc, done func(error)) *http.Response {
+// A short body is read whole, so that one that breaks off is an error here.
+func readAhead(res *http.Response, cancel context.CancelFunc, done func(error)) (*http.Response, error) {
+	if 0 < res.ContentLength && res.ContentLength <= chunkSize && res.Body != http.NoBody && len(res.Trailer) == 0 {
+		return readWhole(res, done)
+	}
 	out := *res
 	out.Trailer = res.Trailer.Clone() // the library fills in the original while the body is read ahead
 	out.Body = &trailedBody{buffered: newBuffered(res.Body, cancel, done), from: res, to: &out}
-	return &out
+	return &out, nil
+}
+
+// readWhole returns the response with its short body in memory, which saves two changes of goroutine.
+func readWhole(res *http.Response, done func(error)) (*http.Response, error) {
+	body := make([]byte, res.ContentLength)
+	_, err := io.ReadFull(res.Body, body)
+	_ = res.Body.Close()
+	done(err)
+	if err != nil {
+		return nil, answer.MaybeRun(answer.Lost, "the response of the target broke off")
+	}
+	out := *res
+	out.Body = io.NopCloser(bytes.NewReader(body))
+	return &out, nil
 }
 
 // trailedBody passes the trailers on once they have arrived.
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -94,7 +94,7 @@
 		}
 		finish(outcome)
 		cancel(nil)
-	}), nil
+	})
 }
 
 // failed reports an attempt without response to the gate and returns the refusal.
--- a/node/target/transport.go
+++ b/node/target/transport.go
@@ -73,7 +73,7 @@
 	}}
 }
 
-// RoundTrip sends one request; its error is a SendError.
+// RoundTrip sends one request, whose headers it may change; its error is a SendError.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn *countingConn
 	var before int64
@@ -82,8 +82,10 @@
 			conn, before = c, c.written.Load()
 		}
 	}}
-	out := r.Clone(httptrace.WithClientTrace(r.Context(), trace))
-	out.URL.Scheme, out.URL.Host = t.base.Scheme, t.base.Host
+	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	at := *r.URL
+	at.Scheme, at.Host = t.base.Scheme, t.base.Host
+	out.URL = &at
 	out.RequestURI = ""
 	PreventResend(out)
 	res, err := t.http.RoundTrip(out)
