Hedge idempotent requests after the p95 of their route

Cause: peer.Hedge decided when a second attempt is due, but the dispatcher never sent one. Ruled out: writing informational responses per attempt; instead they end before the final response is written, since a loser can still receive one. Change: on idempotent routes whose body is held whole, a first attempt that takes longer than the route's p95 gets a second one on another target, within the route's hedge share and only at a target without an expected wait. The first response head wins; the loser's context is cancelled, which resets its stream, and its time so far counts as a lower bound for the p95. If both fail, the failure that may have run is returned. No second attempt is sent below a mark of a retry, and its own trace state is marked. Both targets count as tried. The account pays once. Tests: each case of TestRace was seen to fail without cancellation, with an unclosed late response, or with the wrong failure returned.

--- a/node/answer/relay.go
+++ b/node/answer/relay.go
@@ -52,15 +52,20 @@
 }
 
 // Informational returns a client trace that passes 1xx responses on to w.
-// The library calls it on another goroutine, and never again once the final response has arrived.
-func Informational(w http.ResponseWriter) *httptrace.ClientTrace {
+// The library calls it on another goroutine, and with hedged attempts also after the final response of the other one;
+// stop must be called before w is used again, after which nothing more is passed on.
+func Informational(w http.ResponseWriter) (trace *httptrace.ClientTrace, stop func()) {
 	var mu sync.Mutex
-	return &httptrace.ClientTrace{Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
+	stopped := false
+	trace = &httptrace.ClientTrace{Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
 		if code == http.StatusContinue {
 			return nil // the server answers Expect itself when the body is first read
 		}
 		mu.Lock()
 		defer mu.Unlock()
+		if stopped {
+			return nil
+		}
 		h := w.Header()
 		saved := h.Clone()
 		for name, values := range header {
@@ -75,6 +80,11 @@
 		}
 		return nil
 	}}
+	return trace, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+	}
 }
 
 // Relay writes res to w: head, body as a stream, trailers. It closes the body.
--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -34,7 +34,15 @@
 		if len(tried) > 0 {
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
-		name, reply, err := s.tries.Try(call, q.route.Service, tried)
+		var again func() *http.Request
+		if len(tried) == 0 && MayHedge(q.route.Idempotent, body.stream == nil, IsRetried(state)) {
+			again = func() *http.Request {
+				out := body.next(q.Request)
+				out.Header.Set("Tracestate", MarkRetried(state))
+				return out
+			}
+		}
+		names, reply, err := s.tries.Try(call, q.route, tried, again)
 		var refused answer.Refusal
 		if (!errors.As(err, &refused) || refused.Run != answer.RunNo) && !settled {
 			q.pass.Settle()
@@ -47,9 +55,9 @@
 		if refused.Code != "" {
 			failed.Run, failed.Code = refused.Run, refused.Code
 		}
-		tried = append(tried, name)
+		tried = append(tried, names...)
 		failed.Number, failed.Replayable, failed.Remaining = len(tried), body.replayable(), deadline.Sub(s.now())
-		if name == "" || !s.mayRetry(*q, failed) {
+		if len(names) == 0 || !s.mayRetry(*q, failed) {
 			return reply, err
 		}
 		if reply.Response != nil {
--- a/node/caller/plan.go
+++ b/node/caller/plan.go
@@ -39,6 +39,10 @@
 	}
 }
 
+// MayHedge tells whether a second attempt may run beside the first one. retrying tells that a node higher in the call
+// chain is already retrying; held that the whole body can be sent twice at the same time.
+func MayHedge(idempotent, held, retrying bool) bool { return idempotent && held && !retrying }
+
 const (
 	stateKey  = "verbenapin"
 	stateMark = stateKey + "=r"
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -28,8 +28,9 @@
 
 // Tries is one request's way through the targets of its service.
 type Tries struct {
-	// Try sends an attempt to a target that is not in tried and returns its name.
-	Try func(call target.Call, service string, tried []string) (string, target.Reply, error)
+	// Try sends an attempt to a target that is not in tried, and possibly a second one to another target with the
+	// request that again returns, if that is not nil. It returns the names of the targets.
+	Try func(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error)
 	// Retry takes one paid retry of the route from the budget.
 	Retry func(route config.Route) bool
 }
@@ -127,10 +128,12 @@
 		s.refuse(w, q, err)
 		return
 	}
-	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), answer.Informational(w)))
+	trace, stop := answer.Informational(w)
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), trace))
 	defer cancel()
 	q.Request = s.outgoing(ctx, q)
 	reply, err := s.attempt(&q)
+	stop()
 	if err != nil {
 		s.refuse(w, q, err)
 		return
--- a/node/daemon/shutdown.go
+++ b/node/daemon/shutdown.go
@@ -58,6 +58,7 @@
 		n.peers.Close()
 		n.control.Stop()
 	}
+	n.dispatcher.Close()
 	n.admission.Close()
 	n.limiter.Close()
 	n.members.Close()
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -39,6 +40,10 @@
 	rand       *rand.Rand
 	board      Board
 	budgets    map[string]Budget
+	hedges     map[string]Hedge
+	mu         sync.Mutex
+	closed     bool           // guarded by mu
+	running    sync.WaitGroup // races and their attempts
 }
 
 // NewDispatcher returns a dispatcher. local runs an attempt at this node's own target, remote at another node's.
@@ -54,49 +59,65 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		self: self, loop: l, rand: r, choose: choose, candidates: candidates, out: out,
-		local: local, remote: remote, budgets: map[string]Budget{},
+		local: local, remote: remote, budgets: map[string]Budget{}, hedges: map[string]Hedge{},
 	}
 }
 
-// Try sends an attempt to a target of the service that is not in tried. It returns the target's name, empty if
-// there was none to try; its error is an answer.Refusal.
-func (d *Dispatcher) Try(call target.Call, service string, tried []string) (string, target.Reply, error) {
-	choice, err := d.pick(call.Request.Context(), call.Route, service, tried)
+// Try sends an attempt to a target of the route's service that is not in tried, and possibly a second one to another
+// target while the first one takes long. again returns the request for the second one; nil forbids it. It returns the
+// names of the targets, none if there was none to try; its error is an answer.Refusal.
+func (d *Dispatcher) Try(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error) {
+	choice, after, err := d.pick(call.Request.Context(), route, tried)
 	if err != nil {
-		return "", target.Reply{}, err
+		return nil, target.Reply{}, err
 	}
-	begun := time.Now()
-	reply, err := d.send(choice.Name, call)
-	d.learn(call, choice.Name, reply, err, time.Since(begun))
-	return choice.Name, reply, err
+	first := leg{name: choice.Name, call: call, measured: route.Hedge > 0 && len(tried) == 0}
+	if again == nil || after == 0 || !d.enter() {
+		r := d.run(first.withCancel())
+		return []string{choice.Name}, r.reply, r.err
+	}
+	return d.race(first.withCancel(), route, after, again)
 }
 
-// pick chooses a target and counts the attempt as outstanding there.
-func (d *Dispatcher) pick(ctx context.Context, route, service string, tried []string) (Choice, error) {
-	candidates, out := d.candidates(service), d.out()
+// pick chooses a target and counts the attempt as outstanding there. It also returns the time after which to send a
+// second attempt, zero for none.
+func (d *Dispatcher) pick(ctx context.Context, route config.Route, tried []string) (Choice, time.Duration, error) {
+	candidates, out := d.candidates(route.Service), d.out()
 	var choice Choice
+	var after time.Duration
 	found := false
 	err := d.loop.Call(context.WithoutCancel(ctx), func(now time.Time) {
 		choice, found = d.choose(d.board, now, d.rand, candidates, d.self.Domain, out, tried)
 		if !found {
 			return
 		}
-		for _, c := range candidates {
-			if c.Name == choice.Name {
-				d.board = d.board.WithSent(now, c)
-			}
+		d.sent(now, candidates, choice)
+		if len(tried) > 0 {
+			return
 		}
-		if len(tried) == 0 {
-			d.budgets[route] = d.budget(now, route).WithCall(now)
+		d.budgets[route.Name] = d.budget(now, route.Name).WithCall(now)
+		if route.Hedge > 0 {
+			h := d.hedge(now, route).WithCall(now)
+			d.hedges[route.Name] = h
+			after, _ = h.After()
 		}
 	})
 	if err != nil {
-		return Choice{}, answer.NotRun(answer.Busy, fmt.Sprintf("target selection failed: %v", err))
+		return Choice{}, 0, answer.NotRun(answer.Busy, fmt.Sprintf("target selection failed: %v", err))
 	}
 	if !found {
-		return Choice{}, noTarget(choice.Reason)
+		return Choice{}, 0, noTarget(choice.Reason)
+	}
+	return choice, after, nil
+}
+
+// sent counts an attempt as outstanding; it runs on the control goroutine.
+func (d *Dispatcher) sent(now time.Time, candidates []Candidate, choice Choice) {
+	for _, c := range candidates {
+		if c.Name == choice.Name {
+			d.board = d.board.WithSent(now, c)
+		}
 	}
-	return choice, nil
 }
 
 func noTarget(reason Reason) answer.Refusal {
@@ -110,46 +131,59 @@
 	}
 }
 
+// run sends an attempt and updates the board with its outcome.
+func (d *Dispatcher) run(l leg) result {
+	begun := time.Now()
+	reply, err := d.send(l)
+	d.learn(l, reply, err, time.Since(begun))
+	return result{name: l.name, reply: reply, err: err}
+}
+
 // send runs the attempt under its deadline, which covers the time until the head of the response.
-func (d *Dispatcher) send(name string, call target.Call) (target.Reply, error) {
-	ctx, cancel := context.WithCancelCause(call.Request.Context())
-	timer := time.AfterFunc(time.Until(call.Deadline)+deadlineGrace, func() { cancel(context.DeadlineExceeded) })
-	call.Request = call.Request.WithContext(ctx)
+func (d *Dispatcher) send(l leg) (target.Reply, error) {
+	timer := time.AfterFunc(time.Until(l.call.Deadline)+deadlineGrace, func() { l.cancel(context.DeadlineExceeded) })
+	call := l.call
+	call.Request = call.Request.WithContext(l.ctx)
 	var reply target.Reply
 	var err error
-	if name == d.self.Name {
+	if l.name == d.self.Name {
 		reply, err = d.local(call)
 	} else {
-		reply, err = d.remote(name, call)
+		reply, err = d.remote(l.name, call)
 	}
 	timer.Stop()
 	if err != nil {
-		cancel(nil)
+		l.cancel(nil)
 		return reply, err
 	}
 	reply.Response.Body = &trackedBody{ReadCloser: reply.Response.Body, closed: func() {
-		cancel(nil)
-		d.done(name)
+		l.cancel(nil)
+		d.done(l.name)
 	}}
 	return reply, nil
 }
 
-// learn updates the board with what an attempt showed.
-func (d *Dispatcher) learn(call target.Call, name string, reply target.Reply, err error, took time.Duration) {
-	gone := call.Request.Context().Err() != nil
+// learn updates the board, and the latency of the route, with what an attempt showed.
+func (d *Dispatcher) learn(l leg, reply target.Reply, err error, took time.Duration) {
+	lost := l.lost()
+	gone := lost || l.call.Request.Context().Err() != nil
 	_ = d.loop.Post(context.Background(), func(now time.Time) {
+		// The time until a loser was cancelled is a lower bound of its latency; without it the p95 would fall.
+		if h, ok := d.hedges[l.call.Route]; ok && l.measured && (err == nil || lost) {
+			d.hedges[l.call.Route] = h.WithAnswer(took)
+		}
 		var refused answer.Refusal
 		switch {
 		case err == nil:
-			d.board = d.board.WithAnswer(now, name, reply.Load, max(0, took-reply.Took))
+			d.board = d.board.WithAnswer(now, l.name, reply.Load, max(0, took-reply.Took))
 			return
 		case gone:
 		case errors.As(err, &refused) && reply.Reported:
-			d.board = d.board.WithRefusal(now, name, refused, reply.Load)
+			d.board = d.board.WithRefusal(now, l.name, refused, reply.Load)
 		case refused.Code != answer.Late:
-			d.board = d.board.WithLost(now, name)
+			d.board = d.board.WithLost(now, l.name)
 		}
-		d.board = d.board.WithDone(now, name)
+		d.board = d.board.WithDone(now, l.name)
 	})
 }
 
@@ -175,6 +209,14 @@
 	return b
 }
 
+func (d *Dispatcher) hedge(now time.Time, route config.Route) Hedge {
+	h, ok := d.hedges[route.Name]
+	if !ok {
+		h = NewHedge(now, route.Hedge)
+	}
+	return h.WithShare(route.Hedge)
+}
+
 // defaultRetries is the share of calls that may be repeated before the route's own setting was seen.
 const defaultRetries = 0.1
 
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -69,9 +69,10 @@
 		s.refuse(w, answer.NotRun(answer.Path, err.Error()))
 		return
 	}
-	ctx := httptrace.WithClientTrace(r.Context(), answer.Informational(w))
-	call.Request = r.WithContext(ctx)
+	trace, stop := answer.Informational(w)
+	call.Request = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	reply, err := s.do(call)
+	stop()
 	if err != nil {
 		var refused answer.Refusal
 		if !errors.As(err, &refused) {
