--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -35,7 +35,15 @@
 		if len(tried) > 0 {
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
-		name, reply, err := s.tries.Try(call, q.route.Service, tried)
+		var again func() *http.Request
+		if len(tried) == 0 && MayHedge(q.route.Idempotent, body.stream == nil, IsRetried(state)) {
+			again = func() *http.Request {
+				out := body.next(q.Request)
+				out.Header.Set("Tracestate", MarkRetried(state))
+				return out
+			}
+		}
+		names, reply, err := s.tries.Try(call, q.route, tried, again)
 		run, failure := outcomeOf(reply, err)
 		if run != answer.RunNo {
 			q.pass.Settle()
@@ -44,12 +52,12 @@
 		if err == nil && (reply.Response.StatusCode != http.StatusServiceUnavailable || !q.route.Idempotent) {
 			return reply, nil
 		}
-		tried = append(tried, name)
+		tried = append(tried, names...)
 		failed := Attempt{
 			Run: run, Code: failure.Code, Number: len(tried), Idempotent: q.route.Idempotent, Retrying: IsRetried(state),
 			Replayable: body.replayable(), Remaining: deadline.Sub(s.now()),
 		}
-		if name == "" || !s.mayRetry(*q, failed) {
+		if len(names) == 0 || !s.mayRetry(*q, failed) {
 			if run == answer.RunNo && ran != nil {
 				return target.Reply{}, ran // an earlier attempt may have run, so the request is not "not run"
 			}
