--- a/node/caller/attempt_test.go
+++ b/node/caller/attempt_test.go
@@ -23,6 +23,15 @@
 
 var begin = time.Unix(1000, 0)
 
+// silent returns events that are not observed.
+func silent() Events {
+	return Events{
+		Begun:   func(ctx context.Context, _ http.Header) context.Context { return ctx },
+		Ended:   func(context.Context, Result) {},
+		Retried: func(string) {},
+	}
+}
+
 // outcome is what one attempt returns.
 type outcome struct {
 	status int
@@ -54,7 +63,7 @@
 		}, nil
 	}
 	s := NewServer(func() time.Time { return begin }, func() (config.Tree, error) { return tree, nil }, spend,
-		Tries{Try: try, Retry: func(config.Route) bool { return true }}, Events{})
+		Tries{Try: try, Retry: func(config.Route) bool { return true }}, silent(), nil)
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodGet, "http://app.example/x", nil)
 	r.Header.Set("X-Api-Key", "key")
@@ -174,7 +183,7 @@
 		t.Run(name, func(t *testing.T) {
 			var again func() *http.Request
 			calls := 0
-			s := &Server{now: time.Now, tries: Tries{Try: func(call target.Call, _ config.Route, _ []string, repeat func() *http.Request) ([]string, target.Reply, error) {
+			s := &Server{now: time.Now, events: silent(), tries: Tries{Try: func(call target.Call, _ config.Route, _ []string, repeat func() *http.Request) ([]string, target.Reply, error) {
 				calls++
 				if calls <= c.refused {
 					return []string{"x"}, target.Reply{}, answer.NotRun(answer.Busy, "full")
--- a/node/journal/journal.go
+++ b/node/journal/journal.go
@@ -33,6 +33,7 @@
 type subject struct {
 	level   logrus.Level
 	message Message
+	code    string // so that a refusal of a rare kind is not held back by those of a frequent one
 }
 
 // New returns a journal of the named node that writes lines of the level and above to w.
@@ -69,13 +70,16 @@
 }
 
 // Info writes a line about a change that operators expect.
-func (j *Journal) Info(m Message, fields ...Field) { j.limited(logrus.InfoLevel, m, fields) }
+func (j *Journal) Info(m Message, fields ...Field) { j.limited(logrus.InfoLevel, most, m, fields) }
 
 // Warn writes a line about a fault that the node handles.
-func (j *Journal) Warn(m Message, fields ...Field) { j.limited(logrus.WarnLevel, m, fields) }
+func (j *Journal) Warn(m Message, fields ...Field) { j.limited(logrus.WarnLevel, most, m, fields) }
+
+// Lasting writes a line about a fault that is found again until it is repaired, once in a period.
+func (j *Journal) Lasting(m Message, fields ...Field) { j.limited(logrus.WarnLevel, 1, m, fields) }
 
 // Error writes a line about a fault that needs an operator.
-func (j *Journal) Error(m Message, fields ...Field) { j.limited(logrus.ErrorLevel, m, fields) }
+func (j *Journal) Error(m Message, fields ...Field) { j.limited(logrus.ErrorLevel, most, m, fields) }
 
 // Library returns a logger for a library that writes text of its own.
 // Only TLS handshake errors keep their text, because others may quote a request or a response.
@@ -89,13 +93,13 @@
 	j.report()
 }
 
-func (j *Journal) limited(level logrus.Level, m Message, fields []Field) {
+func (j *Journal) limited(level logrus.Level, n int, m Message, fields []Field) {
 	if !j.log.IsLevelEnabled(level) {
 		return
 	}
-	k := subject{level: level, message: m}
+	k := subject{level: level, message: m, code: codeOf(fields)}
 	j.mu.Lock()
-	l, write := j.limits[k].WithLine()
+	l, write := j.limits[k].WithLine(n)
 	j.limits[k] = l
 	j.mu.Unlock()
 	if write {
@@ -103,6 +107,17 @@
 	}
 }
 
+// codeOf returns the code of a refusal among the fields, empty if there is none.
+func codeOf(fields []Field) string {
+	for _, f := range fields {
+		if f.name == codeName {
+			code, _ := f.value.(string)
+			return code
+		}
+	}
+	return ""
+}
+
 // report starts a new period and writes one line for each kind that was held back.
 func (j *Journal) report() {
 	j.mu.Lock()
@@ -111,7 +126,7 @@
 	j.mu.Unlock()
 	for k, l := range limits {
 		if n := l.Repeats(); n > 0 {
-			j.write(k.level, k.message, []Field{{name: "repeats", value: n}})
+			j.write(k.level, k.message, []Field{{name: "repeats", value: n}, {name: codeName, value: k.code}})
 		}
 	}
 }
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -67,16 +67,22 @@
 // target while the first one takes long. again returns the request for the second one; nil forbids it. It returns the
 // names of the targets, none if there was none to try; its error is an answer.Refusal.
 func (d *Dispatcher) Try(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error) {
+	arrived := time.Now()
 	choice, after, err := d.pick(call.Request.Context(), route, tried)
+	stages := target.Stages{Reason: string(choice.Reason), Expected: choice.Wait, Choice: time.Since(arrived)}
 	if err != nil {
-		return nil, target.Reply{}, err
+		return nil, target.Reply{Stages: stages}, err
 	}
 	first := leg{name: choice.Name, call: call, measured: route.Hedge > 0 && len(tried) == 0}
+	names, reply, err := []string{choice.Name}, target.Reply{}, error(nil)
 	if again == nil || after == 0 || !d.enter() {
 		r := d.run(first.withCancel())
-		return []string{choice.Name}, r.reply, r.err
+		reply, err = r.reply, r.err
+	} else {
+		names, reply, err = d.race(first.withCancel(), route, after, again)
 	}
-	return d.race(first.withCancel(), route, after, again)
+	reply.Stages.Reason, reply.Stages.Expected, reply.Stages.Choice = stages.Reason, stages.Expected, stages.Choice
+	return names, reply, err
 }
 
 // pick chooses a target and counts the attempt as outstanding there. It also returns the time after which to send a
@@ -135,7 +141,11 @@
 func (d *Dispatcher) run(l leg) result {
 	begun := time.Now()
 	reply, err := d.send(l)
-	d.learn(l, reply, err, time.Since(begun))
+	took := time.Since(begun)
+	d.learn(l, reply, err, took)
+	if l.name != d.self.Name {
+		reply.Stages.Hop = took
+	}
 	return result{name: l.name, reply: reply, err: err}
 }
 
