Wait for changes of the instance list

Cause: Members never kept the etag of the list it had read, so each read returned the whole list at once, and a node read it at each heartbeat, three times a second.

Change: keep the etag, so that a read waits up to 30 s for a change. The new test fails without it with etags "" "" "" "".

--- a/node/instance/members.go
+++ b/node/instance/members.go
@@ -194,6 +194,7 @@
 				return
 			}
 			if got != etag || etag == "" {
+				m.etag = got // without it the next read returns at once
 				m.publish(now, m.Snapshot().WithList(now, list))
 			}
 		})
--- a/node/instance/members_test.go
+++ b/node/instance/members_test.go
@@ -91,6 +91,41 @@
 	<-served
 }
 
+// TestMembersWatch guards against reads of the whole list at each heartbeat: a read must name the list that is held,
+// so that the service answers it only after a change.
+func TestMembersWatch(t *testing.T) {
+	manual := clock.NewManual(start)
+	l := loop.New(manual.Now)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = l.Serve(context.Background())
+	}()
+	var got []string // etags of the reads; reads never overlap, and Close waits for the last one
+	reads, lists := make(chan struct{}, 100), []string{"1", "2", "2"}
+	m := New(Settings{
+		Name: "self", Loop: l, Clock: manual.Clock(), Random: func(int) int { return 0 },
+		List: func(ctx context.Context, etag string, _ time.Duration) ([]Instance, string, error) {
+			got = append(got, etag)
+			reads <- struct{}{}
+			if len(got) > len(lists) {
+				<-ctx.Done()
+				return nil, etag, ctx.Err()
+			}
+			return []Instance{{Name: "self", State: Live}}, lists[len(got)-1], nil
+		},
+	})
+	m.Start()
+	require.Eventually(t, func() bool {
+		manual.Advance(100 * time.Millisecond)
+		return len(reads) == len(lists)+1
+	}, 20*time.Second, time.Millisecond)
+	m.Close()
+	l.Close()
+	<-served
+	require.Equal(t, []string{"", "1", "2", "2"}, got)
+}
+
 // TestNear guards against heartbeats to absent peers, and against a set of neighbours that never changes.
 func TestNear(t *testing.T) {
 	var list []Instance
