Measure what idle nodes use as the fleet grows

measure slopes runs idle fleets of several sizes, one after the other, and prints processor time, memory, control bytes, calls on the platform and the age of evidence for each, so that the figures of docs/CAPACITY.md can be repeated.

--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -181,6 +181,35 @@
 	return d
 }
 
+// WithNodes returns d with n targets in all, spread evenly over its services.
+func (d Deployment) WithNodes(n int) Deployment {
+	d.services = slices.Clone(d.services)
+	for i := range d.services {
+		d.services[i].Targets = (n + i) / len(d.services)
+	}
+	return d
+}
+
+// WithHomes returns d with the first n instances as homes, spread evenly over the failure domains.
+func (d Deployment) WithHomes(n int) Deployment {
+	d.homes = nil
+	for i := range n {
+		d.homes = append(d.homes, fmt.Sprintf("%s%d", Domains[i%len(Domains)], i/len(Domains)+1))
+	}
+	return d
+}
+
+// WithMoreAccounts returns d with n further accounts that may use the same routes as the named one.
+func (d Deployment) WithMoreAccounts(n int, like string) Deployment {
+	routes := d.accounts[like].Routes
+	d.accounts = maps.Clone(d.accounts)
+	for i := range n {
+		a := newAccount(fmt.Sprintf("account%d", i), 100, 100, routes)
+		d.accounts[a.Name] = a
+	}
+	return d
+}
+
 // YAML returns the configuration tree.
 func (d Deployment) YAML() []byte {
 	var b strings.Builder
--- a/measure/main.go
+++ b/measure/main.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -17,6 +18,7 @@
 	"verbenapin.dev/measure/demo"
 	"verbenapin.dev/measure/report"
 	"verbenapin.dev/measure/scenario"
+	"verbenapin.dev/measure/slope"
 )
 
 func main() {
@@ -32,9 +34,10 @@
 		text string
 		data any
 	}{
-		"demo":  {text: "Start both deployments, send requests, clean up", data: &demoCommand{ctx: ctx}},
-		"run":   {text: "Measure and write the figures", data: &runCommand{ctx: ctx}},
-		"certs": {text: "Write throwaway certificates for nodes", data: &certsCommand{}},
+		"demo":   {text: "Start both deployments, send requests, clean up", data: &demoCommand{ctx: ctx}},
+		"run":    {text: "Measure and write the figures", data: &runCommand{ctx: ctx}},
+		"slopes": {text: "Measure what idle nodes use as the fleet grows", data: &slopesCommand{ctx: ctx}},
+		"certs":  {text: "Write throwaway certificates for nodes", data: &certsCommand{}},
 	}
 	for name, c := range commands {
 		if _, err := parser.AddCommand(name, c.text, c.text+".", c.data); err != nil {
@@ -147,6 +150,38 @@
 	return nil
 }
 
+type slopesCommand struct {
+	Node     string        `long:"node" env:"MEASURE_NODE" description:"node program, by default the one beside this program"`
+	Nodes    []int         `long:"nodes" description:"nodes of a fleet; may be repeated" default:"5" default:"20" default:"60" default:"99"`
+	Homes    int           `long:"homes" default:"3" description:"homes, at most the nodes"`
+	Accounts int           `long:"accounts" default:"0" description:"accounts in addition to the eight of the deployment"`
+	Settle   time.Duration `long:"settle" default:"15s" description:"time from the start until figures are taken"`
+	For      time.Duration `long:"for" default:"30s" description:"time over which figures are taken"`
+	ctx      context.Context
+}
+
+// Execute measures one fleet after the other.
+func (c *slopesCommand) Execute([]string) error {
+	binary, err := nodeBinary(c.Node)
+	if err != nil {
+		return err
+	}
+	fmt.Println(slope.Header)
+	for _, n := range c.Nodes {
+		dir, err := os.MkdirTemp("", "verbenapin-slope-")
+		if err != nil {
+			return fmt.Errorf("measure: creating a directory: %w", err)
+		}
+		use, err := slope.Measure(c.ctx, binary, dir, slope.Size{Nodes: n, Homes: c.Homes, Accounts: c.Accounts}, c.Settle, c.For)
+		_ = os.RemoveAll(dir)
+		if err != nil {
+			return err
+		}
+		fmt.Println(use.Line())
+	}
+	return nil
+}
+
 type certsCommand struct {
 	Dir  string `long:"dir" default:"certs" description:"directory to write to"`
 	Args struct {
