--- a/measure/main.go
+++ b/measure/main.go
@@ -37,6 +37,7 @@
 		"demo":   {text: "Start both deployments, send requests, clean up", data: &demoCommand{ctx: ctx}},
 		"run":    {text: "Measure and write the figures", data: &runCommand{ctx: ctx}},
 		"slopes": {text: "Measure what idle nodes use as the fleet grows", data: &slopesCommand{ctx: ctx}},
+		"home":   {text: "Measure what a home uses for its borrowers", data: &homeCommand{ctx: ctx}},
 		"certs":  {text: "Write throwaway certificates for nodes", data: &certsCommand{}},
 	}
 	for name, c := range commands {
@@ -182,6 +183,37 @@
 	return nil
 }
 
+type homeCommand struct {
+	Node      string        `long:"node" env:"MEASURE_NODE" description:"node program, by default the one beside this program"`
+	Borrowers []int         `long:"borrowers" description:"borrowers with a connection each; may be repeated" default:"0" default:"100" default:"400" default:"1200"`
+	Every     time.Duration `long:"every" default:"2s" description:"time between two Takes of one borrower"`
+	Settle    time.Duration `long:"settle" default:"6s" description:"time from the start until figures are taken"`
+	For       time.Duration `long:"for" default:"10s" description:"time over which figures are taken"`
+	ctx       context.Context
+}
+
+// Execute measures one number of borrowers after the other.
+func (c *homeCommand) Execute([]string) error {
+	binary, err := nodeBinary(c.Node)
+	if err != nil {
+		return err
+	}
+	fmt.Println(slope.HomeHeader)
+	for _, n := range c.Borrowers {
+		dir, err := os.MkdirTemp("", "verbenapin-home-")
+		if err != nil {
+			return fmt.Errorf("measure: creating a directory: %w", err)
+		}
+		use, err := slope.MeasureHome(c.ctx, binary, dir, slope.Load{Borrowers: n, Every: c.Every}, c.Settle, c.For)
+		_ = os.RemoveAll(dir)
+		if err != nil {
+			return err
+		}
+		fmt.Println(use.Line())
+	}
+	return nil
+}
+
 type certsCommand struct {
 	Dir  string `long:"dir" default:"certs" description:"directory to write to"`
 	Args struct {
