--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -35,35 +36,25 @@
 		if len(tried) > 0 {
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
-		name, reply, err := s.tries.Try(call, q.route.Service, tried)
-		if name != "" || len(tried) == 0 {
-			q.result.Last = reply.Stages
-		}
-		if name != "" {
-			q.result.Target, q.result.Attempts = name, len(tried)+1
-		}
-		var refused answer.Refusal
-		if (!errors.As(err, &refused) || refused.Run != answer.RunNo) && !settled {
+		names, reply, err := s.tries.Try(call, q.route, tried, s.again(q, body, state, tried))
+		q.result = q.result.withAttempt(names, reply.Stages)
+		failure := failureOf(reply, err)
+		if failure.Run != answer.RunNo && !settled {
 			q.pass.Settle()
 			settled = true
 		}
 		if err == nil && (reply.Response.StatusCode != http.StatusServiceUnavailable || !q.route.Idempotent) {
 			return reply, nil
 		}
-		failed := Attempt{Run: answer.RunMaybe, Idempotent: q.route.Idempotent, Retrying: IsRetried(state)}
-		switch {
-		case err == nil:
-			refused = answer.MaybeRun(answer.Busy, "the target shed the request")
-		case refused.Code == "":
-			refused = answer.MaybeRun(answer.Lost, err.Error())
+		tried = append(tried, names...)
+		failures = append(failures, failure)
+		failed := Attempt{
+			Run: failure.Run, Code: failure.Code, Number: len(tried), Idempotent: q.route.Idempotent, Retrying: IsRetried(state),
+			Replayable: body.replayable(), Remaining: deadline.Sub(s.now()),
 		}
-		failed.Run, failed.Code = refused.Run, refused.Code
-		failures = append(failures, refused)
-		tried = append(tried, name)
-		failed.Number, failed.Replayable, failed.Remaining = len(tried), body.replayable(), deadline.Sub(s.now())
-		if name == "" || !s.mayRetry(*q, failed) {
+		if len(names) == 0 || !s.mayRetry(*q, failed) {
 			if err != nil {
-				err = Final(failures, name != "")
+				err = Final(failures, len(names) > 0)
 			}
 			return reply, err
 		}
@@ -73,6 +64,30 @@
 	}
 }
 
+// again returns the function that makes the request for a second attempt beside the first one, nil if there must be none.
+func (s *Server) again(q *request, body replay, state string, tried []string) func() *http.Request {
+	if len(tried) > 0 || !MayHedge(q.route.Idempotent, body.stream == nil, IsRetried(state)) {
+		return nil
+	}
+	return func() *http.Request {
+		out := body.next(q.Request)
+		out.Header.Set("Tracestate", MarkRetried(state))
+		return out
+	}
+}
+
+// failureOf describes an attempt as a failure, which it is if it is to be repeated.
+func failureOf(reply target.Reply, err error) answer.Refusal {
+	var refused answer.Refusal
+	if errors.As(err, &refused) {
+		return refused
+	}
+	if err != nil {
+		return answer.MaybeRun(answer.Lost, err.Error())
+	}
+	return answer.MaybeRun(answer.Busy, fmt.Sprintf("the target answered with status %d", reply.Response.StatusCode))
+}
+
 // confirm makes sure that the account pays for a request that is forwarded now. After a long wait, for example for
 // a connection to a node that is paused, the request pays anew.
 func (s *Server) confirm(q *request) error {
--- a/node/caller/plan_test.go
+++ b/node/caller/plan_test.go
@@ -21,8 +21,8 @@
 		"refused by the last target": {attempts: []answer.Refusal{none, full}, found: true, want: full},
 		"no target after a refusal":  {attempts: []answer.Refusal{full, none}, want: full},
 		"no target after a loss":     {attempts: []answer.Refusal{lost, none}, want: lost},
-		"refused after a loss":       {attempts: []answer.Refusal{lost, full}, found: true, want: answer.MaybeRun(answer.Busy, "the queue is full")},
-		"refused between":            {attempts: []answer.Refusal{lost, full, none}, want: answer.MaybeRun(answer.Busy, "the queue is full")},
+		"refused after a loss":       {attempts: []answer.Refusal{lost, full}, found: true, want: lost},
+		"refused between":            {attempts: []answer.Refusal{lost, full, none}, want: lost},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, Final(tc.attempts, tc.found)) })
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -29,8 +29,9 @@
 
 // Tries is one request's way through the targets of its service.
 type Tries struct {
-	// Try sends an attempt to a target that is not in tried and returns its name.
-	Try func(call target.Call, service string, tried []string) (string, target.Reply, error)
+	// Try sends an attempt to a target that is not in tried, and possibly a second one to another target with the
+	// request that again returns, if that is not nil. It returns the names of the targets.
+	Try func(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error)
 	// Retry takes one paid retry of the route from the budget.
 	Retry func(route config.Route) bool
 }
@@ -61,6 +62,18 @@
 	Whole    time.Duration   // until the end of the response
 }
 
+// withAttempt returns r after an attempt at the named targets, none if there was none to try.
+func (r Result) withAttempt(names []string, stages target.Stages) Result {
+	if len(names) > 0 || r.Attempts == 0 {
+		r.Last = stages
+	}
+	if len(names) > 0 {
+		r.Target = names[len(names)-1]
+		r.Attempts += len(names)
+	}
+	return r
+}
+
 // Server accepts the requests of callers.
 type Server struct {
 	http    *http.Server
@@ -151,10 +164,12 @@
 		s.refuse(w, q, err)
 		return
 	}
-	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(q.Context(), answer.Informational(w)))
+	trace, stop := answer.Informational(w)
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(q.Context(), trace))
 	defer cancel()
 	q.Request = s.outgoing(ctx, q)
 	reply, err := s.attempt(&q)
+	stop()
 	if err != nil {
 		s.refuse(w, q, err)
 		return
--- a/node/daemon/trace.go
+++ b/node/daemon/trace.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 
 	"verbenapin.dev/node/answer"
 	"verbenapin.dev/node/caller"
+	"verbenapin.dev/node/config"
 	"verbenapin.dev/node/journal"
 	"verbenapin.dev/node/operator"
 	"verbenapin.dev/node/otlp"
@@ -43,21 +45,22 @@
 }
 
 // try sends one attempt, with a span until the head of its response.
-func (n *Node) try(call target.Call, service string, tried []string) (string, target.Reply, error) {
+// A second attempt beside it has no span of its own.
+func (n *Node) try(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error) {
 	ctx, span := n.tracer.Start(call.Request.Context(), otlp.HopPeer)
 	if span.On() {
 		call.Request = call.Request.WithContext(ctx)
 		span.Inject(call.Request.Header)
 	}
-	name, reply, err := n.dispatcher.Try(call, service, tried)
+	names, reply, err := n.dispatcher.Try(call, route, tried, again)
 	n.metrics.Waited(operator.StageChoice, reply.Stages.Choice)
 	if reply.Stages.Hop > 0 {
 		n.metrics.Waited(operator.StageHop, reply.Stages.Hop)
 	}
 	span.Attempt(len(tried) + 1)
-	span.Chosen(name, reply.Stages.Reason, reply.Stages.Expected)
+	span.Chosen(strings.Join(names, ","), reply.Stages.Reason, reply.Stages.Expected)
 	endHop(span, reply, err)
-	return name, reply, err
+	return names, reply, err
 }
 
 // atGate runs an attempt at this node's target, with a span until the end of the response.
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -23,8 +23,8 @@
 	n.gate = target.NewServer(n.clock.Now, n.store.Current, n.admission.Admit, n.admission.Load, n.roundTrip)
 	if n.identity != nil {
 		n.pool = rpc.NewPool(dialOptions(n.identity)...)
-		n.client = peer.NewClient(n.clock.Now, n.identity.ClientConfig("h2"), n.addressOf)
-		n.peers = peer.NewServer(n.clock.Now, n.identity.ServerConfig("h2"), n.atGate, n.admission.Load, n.journal.Library("peer"))
+		n.client = peer.NewClient(n.clock.Now, n.identity.ClientConfig("http/1.1"), n.addressOf)
+		n.peers = peer.NewServer(n.clock.Now, n.identity.ServerConfig("http/1.1"), n.atGate, n.admission.Load, n.journal.Library("peer"))
 		n.control = n.newControl()
 	}
 	n.dispatcher = peer.NewDispatcher(
--- a/node/peer/dispatch_test.go
+++ b/node/peer/dispatch_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"verbenapin.dev/node/config"
 	"verbenapin.dev/node/loop"
 	"verbenapin.dev/node/target"
 )
@@ -30,9 +31,9 @@
 		}, nil)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "/", nil)
 	require.NoError(t, err)
-	name, reply, err := d.Try(target.Call{Request: r, Deadline: time.Now().Add(time.Minute)}, "app", nil)
+	names, reply, err := d.Try(target.Call{Request: r, Deadline: time.Now().Add(time.Minute)}, config.Route{Service: "app"}, nil, nil)
 	require.NoError(t, err)
-	require.Equal(t, "a1", name)
+	require.Equal(t, []string{"a1"}, names)
 	require.NoError(t, reply.Response.Body.Close())
 	var trip time.Duration
 	require.NoError(t, l.Call(ctx, func(time.Time) { trip = d.board.Trip("a", "a") }))
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -17,7 +17,6 @@
 
 const (
 	headTimeout = 5 * time.Second
-	maxStreams  = 1000
 )
 
 // Server accepts the requests of other nodes and hands them to the gate of this node's target.
@@ -35,7 +34,7 @@
 ) *Server {
 	s := &Server{now: now, do: do, load: load}
 	protocols := new(http.Protocols)
-	protocols.SetHTTP2(true)
+	protocols.SetHTTP1(true)
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		TLSConfig:         cfg,
@@ -43,11 +42,6 @@
 		ErrorLog:          faults,
 		ReadHeaderTimeout: headTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
-		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams:          maxStreams,
-			MaxReceiveBufferPerStream:     streamBuffer,
-			MaxReceiveBufferPerConnection: connBuffer,
-		},
 	}
 	return s
 }
@@ -74,9 +68,10 @@
 		s.refuse(w, answer.NotRun(answer.Path, err.Error()), 0)
 		return
 	}
-	ctx := httptrace.WithClientTrace(r.Context(), answer.Informational(w))
-	call.Request = r.WithContext(ctx)
+	trace, stop := answer.Informational(w)
+	call.Request = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	reply, err := s.do(call)
+	stop()
 	if err != nil {
 		var refused answer.Refusal
 		if !errors.As(err, &refused) {
