Record a span and a count for each attempt, hedges included

Cause: since hedging came, the span of a try covered both attempts, the second one had none and was not counted, and the log named its target although the first one may have answered.

Change: the dispatcher has a function field Observe that is called before each attempt and with its outcome; the daemon starts the peer span and counts hedged there. The instance that answered comes with the stages.

--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -68,7 +68,7 @@
 		r.Last = stages
 	}
 	if len(names) > 0 {
-		r.Target = names[len(names)-1]
+		r.Target = stages.Instance
 		r.Attempts += len(names)
 	}
 	return r
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -29,7 +29,7 @@
 	// maxMessage bounds a control message; a part has at most 512 KB.
 	maxMessage = 1 << 20
 	// controlIdle closes a control connection that carries no messages.
-	controlIdle    = time.Minute
+	controlIdle = time.Minute
 	// controlWindow is a fixed receive window: gRPC otherwise sends a ping with each message to adapt it to the
 	// path. 64 KB carry a part of 512 KB in 8 round trips.
 	controlWindow  = 64 << 10
--- a/node/daemon/trace.go
+++ b/node/daemon/trace.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 
 	"verbenapin.dev/node/answer"
@@ -14,6 +13,7 @@
 	"verbenapin.dev/node/journal"
 	"verbenapin.dev/node/operator"
 	"verbenapin.dev/node/otlp"
+	"verbenapin.dev/node/peer"
 	"verbenapin.dev/node/target"
 )
 
@@ -44,25 +44,30 @@
 	span.End()
 }
 
-// try sends one attempt, with a span until the head of its response.
-// A second attempt beside it has no span of its own.
+// try sends an attempt and measures the choice of its target.
 func (n *Node) try(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error) {
-	ctx, span := n.tracer.Start(call.Request.Context(), otlp.HopPeer)
-	if span.On() {
-		call.Request = call.Request.WithContext(ctx)
-		span.Inject(call.Request.Header)
-	}
 	names, reply, err := n.dispatcher.Try(call, route, tried, again)
 	n.metrics.Waited(operator.StageChoice, reply.Stages.Choice)
-	if reply.Stages.Hop > 0 {
-		n.metrics.Waited(operator.StageHop, reply.Stages.Hop)
-	}
-	span.Attempt(len(tried) + 1)
-	span.Chosen(strings.Join(names, ","), reply.Stages.Reason, reply.Stages.Expected)
-	endHop(span, reply, err)
 	return names, reply, err
 }
 
+// observe starts the span of an attempt, which lasts until the head of its response.
+func (n *Node) observe(ctx context.Context, route string, h http.Header, a peer.Attempt) (context.Context, func(target.Reply, error)) {
+	if a.Hedge {
+		n.metrics.Hedged(route)
+	}
+	ctx, span := n.tracer.Start(ctx, otlp.HopPeer)
+	span.Inject(h)
+	span.Attempt(a.Number, a.Hedge)
+	span.Chosen(a.Choice.Name, string(a.Choice.Reason), a.Choice.Wait)
+	return ctx, func(reply target.Reply, err error) {
+		if reply.Stages.Hop > 0 {
+			n.metrics.Waited(operator.StageHop, reply.Stages.Hop)
+		}
+		endHop(span, reply, err)
+	}
+}
+
 // atGate runs an attempt at this node's target, with a span until the end of the response.
 func (n *Node) atGate(call target.Call) (target.Reply, error) {
 	ctx, span := n.tracer.Start(n.tracer.Join(call.Request.Context(), call.Request.Header), otlp.HopGate)
@@ -110,6 +115,8 @@
 	switch {
 	case errors.As(err, &refused):
 		span.Refused(refused)
+	case errors.Is(err, peer.LoserError{}):
+		span.Failed("another attempt was answered first")
 	case err != nil:
 		span.Failed("no response")
 	default:
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -31,6 +31,7 @@
 		peer.Self{Name: s.Name, Domain: s.Domain}, n.loop, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		n.policy.Choose, n.candidates, n.domainsOut, n.atGate, n.remote,
 	)
+	n.dispatcher.Observe = n.observe
 	n.callers = caller.NewServer(n.clock.Now, n.store.Current, n.spend,
 		caller.Tries{Try: n.try, Retry: n.dispatcher.Retry}, n.events(), n.journal.Library("caller"))
 	n.operators = operator.New(n.listeners.admin, operator.Seams{
--- a/node/otlp/span.go
+++ b/node/otlp/span.go
@@ -81,10 +81,10 @@
 	}
 }
 
-// Attempt sets the number of the attempt, from 1.
-func (s Span) Attempt(n int) {
+// Attempt sets the number of the attempt, from 1, and whether it runs beside the one before it.
+func (s Span) Attempt(n int, hedge bool) {
 	if s.recording() {
-		s.span.SetAttributes(attribute.Int("attempt", n))
+		s.span.SetAttributes(attribute.Int("attempt", n), attribute.Bool("hedge", hedge))
 	}
 }
 
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -28,8 +28,19 @@
 	Domain string
 }
 
+// Attempt is one attempt as operators see it.
+type Attempt struct {
+	Number int // from 1
+	Choice Choice
+	Hedge  bool // runs beside the one before it
+}
+
 // Dispatcher holds the board on the control goroutine and sends attempts to targets.
 type Dispatcher struct {
+	// Observe is called before each attempt with its context, route and headers, which it may extend; the returned
+	// function is called with the outcome, a LoserError for an attempt that lost a race. Nil observes nothing.
+	Observe func(ctx context.Context, route string, h http.Header, a Attempt) (context.Context, func(target.Reply, error))
+
 	self       Self
 	loop       *loop.Loop
 	choose     Selector
@@ -73,7 +84,8 @@
 	if err != nil {
 		return nil, target.Reply{Stages: stages}, err
 	}
-	first := leg{name: choice.Name, call: call, measured: route.Hedge > 0 && len(tried) == 0}
+	attempt := Attempt{Number: len(tried) + 1, Choice: choice}
+	first := leg{name: choice.Name, call: call, attempt: attempt, measured: route.Hedge > 0 && len(tried) == 0}
 	names, reply, err := []string{choice.Name}, target.Reply{}, error(nil)
 	if again == nil || after == 0 || !d.enter() {
 		r := d.run(first.withCancel())
@@ -139,6 +151,10 @@
 
 // run sends an attempt and updates the board with its outcome.
 func (d *Dispatcher) run(l leg) result {
+	ended := func(target.Reply, error) {}
+	if d.Observe != nil {
+		l.ctx, ended = d.Observe(l.ctx, l.call.Route, l.call.Request.Header, l.attempt)
+	}
 	begun := time.Now()
 	reply, err := d.send(l)
 	took := time.Since(begun)
@@ -147,7 +163,13 @@
 	} else {
 		reply.Stages.Hop = took
 	}
+	reply.Stages.Instance = l.name
 	d.learn(l, reply, err, took)
+	if err != nil && l.lost() {
+		ended(reply, LoserError{})
+	} else {
+		ended(reply, err)
+	}
 	return result{name: l.name, reply: reply, err: err}
 }
 
--- a/node/peer/race.go
+++ b/node/peer/race.go
@@ -20,6 +20,7 @@
 type leg struct {
 	name     string
 	call     target.Call
+	attempt  Attempt
 	measured bool // its latency counts for the route
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -55,16 +56,16 @@
 		return []string{r.name}, r.reply, r.err
 	case <-timer.C:
 	}
-	name, ok := d.pickHedge(route, first.name)
+	choice, ok := d.pickHedge(route, first.name)
 	if !ok {
 		r := <-results
 		return []string{r.name}, r.reply, r.err
 	}
 	call := first.call
 	call.Request = again()
-	second := leg{name: name, call: call}.withCancel()
+	second := leg{name: choice.Name, call: call, attempt: Attempt{Number: first.attempt.Number + 1, Choice: choice, Hedge: true}}.withCancel()
 	d.start(second, results, over)
-	names := []string{first.name, name}
+	names := []string{first.name, choice.Name}
 	r := <-results
 	if r.err != nil {
 		r = worseResult(r, <-results)
@@ -124,7 +125,7 @@
 
 // pickHedge chooses the target of a second attempt if the budget allows one. A target at which it would wait gets none:
 // it would delay the first attempts of other requests there.
-func (d *Dispatcher) pickHedge(route config.Route, first string) (string, bool) {
+func (d *Dispatcher) pickHedge(route config.Route, first string) (Choice, bool) {
 	candidates, out := d.candidates(route.Service), d.out()
 	var choice Choice
 	found := false
@@ -140,5 +141,5 @@
 		d.hedges[route.Name] = h
 		d.sent(now, candidates, choice)
 	})
-	return choice.Name, err == nil && found
+	return choice, err == nil && found
 }
--- a/node/peer/race_test.go
+++ b/node/peer/race_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -219,3 +221,32 @@
 		require.EqualValues(t, 2, r.cancelled.Load())
 	})
 }
+
+// TestObserve guards against an attempt beside another one that operators do not see, or see as a fault of its target.
+func TestObserve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRacer()
+		defer r.loop.Close()
+		route := config.Route{Name: "r", Service: "s", Hedge: 0.05}
+		for range 40 {
+			_, reply, err := r.try(t, route, true)
+			require.NoError(t, err)
+			require.NoError(t, reply.Response.Body.Close())
+		}
+		var mu sync.Mutex
+		var seen []string
+		r.Observe = func(ctx context.Context, route string, _ http.Header, a Attempt) (context.Context, func(target.Reply, error)) {
+			return ctx, func(reply target.Reply, err error) {
+				mu.Lock()
+				defer mu.Unlock()
+				seen = append(seen, fmt.Sprint(route, a.Number, a.Hedge, a.Choice.Name == reply.Stages.Instance, err))
+			}
+		}
+		r.acts, r.calls = []act{{takes: ms(500)}, {takes: ms(5)}}, 0
+		_, reply, err := r.try(t, route, true)
+		require.NoError(t, err)
+		require.NoError(t, reply.Response.Body.Close())
+		r.Close()
+		require.Equal(t, []string{"r2 true true <nil>", "r1 false true " + LoserError{}.Error()}, seen)
+	})
+}
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -28,6 +28,7 @@
 
 // Stages tell operators where the time of an attempt went; no decision depends on them.
 type Stages struct {
+	Instance string        // whose target it was
 	Reason   string        // why the target was chosen
 	Expected time.Duration // wait that was expected there
 	Choice   time.Duration // choosing the target
