--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -144,8 +144,12 @@
 		return answer.NotRun(answer.Domain, "all targets are in failure domains that are taken out")
 	case Leaving:
 		return answer.NotRun(answer.Leaving, "all targets are leaving")
+	case Empty:
+		return answer.NotRun(answer.Busy, "the service has no listed targets").WithAfter(firstBackoff)
+	case Tried:
+		return answer.NotRun(answer.Busy, "all targets were tried").WithAfter(firstBackoff)
 	default:
-		return answer.NotRun(answer.Busy, "no target can be tried now").WithAfter(firstBackoff)
+		return answer.NotRun(answer.Busy, "all targets are lost, busy, or answering a first request that shows their load").WithAfter(firstBackoff)
 	}
 }
 
