Use the fixed split when it is asked for, and measure what it refuses

Cause: VERBENAPIN_RATES=split had no effect, so wrongful_refusals and its naive value were both the own policy's. Change: the daemon spends from account.Splits under that policy. Scenario refusals adds traffic that hops between nodes each 300 ms and an account of 5/s; homedown and homesdown kill one of three and one of six homes.

--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -112,6 +112,11 @@
 	return fmt.Sprintf("%s%s-%d", upstream.KeyMark, account, n)
 }
 
+// NewAccount returns an account with one key.
+func NewAccount(name string, rate, burst float64, routes ...string) Account {
+	return newAccount(name, rate, burst, routes)
+}
+
 func newAccount(name string, rate, burst float64, routes []string) Account {
 	return Account{Name: name, Keys: []string{NewKey(name, 1)}, Rate: rate, Burst: burst, Routes: routes}
 }
@@ -157,6 +162,12 @@
 	return d
 }
 
+// WithHomes returns d with other homes.
+func (d Deployment) WithHomes(names ...string) Deployment {
+	d.homes = names
+	return d
+}
+
 // WithTargets returns d with only some services, and n targets of each.
 func (d Deployment) WithTargets(n int, services ...string) Deployment {
 	var list []Service
--- a/measure/load/generator.go
+++ b/measure/load/generator.go
@@ -18,6 +18,7 @@
 type Source struct {
 	Rate    float64 // requests per second, Poisson arrivals
 	Entries []string
+	Hop     time.Duration // if not zero, all requests enter at one entry for this long, then at the next one
 	Next    func(n int) Request
 }
 
@@ -43,6 +44,14 @@
 	return r
 }
 
+// entry returns where a request enters that starts at a time since the start of the run.
+func (s Source) entry(since time.Duration, random *rand.Rand) string {
+	if s.Hop > 0 {
+		return s.Entries[int(since/s.Hop)%len(s.Entries)]
+	}
+	return s.Entries[random.IntN(len(s.Entries))]
+}
+
 func (c Caller) runSource(ctx context.Context, s Source, length time.Duration, random *rand.Rand) Result {
 	answered := make(chan Answer, 64)
 	collected := make(chan []Answer, 1)
@@ -81,7 +90,7 @@
 			skipped++
 			continue
 		}
-		request, entry, intended := s.Next(n), s.Entries[random.IntN(len(s.Entries))], next
+		request, entry, intended := s.Next(n), s.entry(next.Sub(start), random), next
 		sent.Go(func() {
 			defer func() { <-places }()
 			answered <- c.Do(ctx, entry, request, intended)
--- a/measure/load/load_test.go
+++ b/measure/load/load_test.go
@@ -126,3 +126,20 @@
 	}
 	require.Equal(t, int64(2), arrived.Load())
 }
+
+// TestEntry guards against traffic that spreads over all entries although it is to hop between them.
+func TestEntry(t *testing.T) {
+	s := Source{Entries: []string{"x", "y"}, Hop: time.Second}
+	cases := map[string]struct {
+		since time.Duration
+		want  string
+	}{
+		"at the start":      {want: "x"},
+		"before the hop":    {since: 999 * time.Millisecond, want: "x"},
+		"after the hop":     {since: time.Second, want: "y"},
+		"back at the first": {since: 2500 * time.Millisecond, want: "x"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, s.entry(tc.since, nil)) })
+	}
+}
--- a/measure/scenario/scenario.go
+++ b/measure/scenario/scenario.go
@@ -53,7 +53,7 @@
 // All returns all scenarios in the order in which they run.
 func All() []Scenario {
 	return []Scenario{
-		added(), read(), evacuation(), faults(), spread(), control(), probe(), cold(), fairness(), refusals(), admission(), withdrawal(), shutdown(),
+		added(), read(), evacuation(), faults(), spread(), control(), probe(), cold(), fairness(), refusals(), homeDown(), homesDown(), admission(), withdrawal(), shutdown(),
 	}
 }
 
--- a/node/account/decision_test.go
+++ b/node/account/decision_test.go
@@ -295,3 +295,28 @@
 		})
 	}
 }
+
+// TestSplits guards against a baseline that gives a node more than its part, also after the number of nodes grows.
+func TestSplits(t *testing.T) {
+	limit := Limit{Rate: 10, Burst: 12}
+	cases := map[string]struct {
+		nodes []int
+		gap   time.Duration
+		want  []bool
+	}{
+		"the part of the burst":        {nodes: []int{6, 6, 6}, want: []bool{true, true, false}},
+		"the part of the rate":         {nodes: []int{12, 12, 12}, gap: 600 * time.Millisecond, want: []bool{true, false, true}},
+		"nodes are added":              {nodes: []int{2, 12, 12}, want: []bool{true, true, false}},
+		"a node by itself has it all":  {nodes: []int{0, 0, 0}, want: []bool{true, true, true}},
+		"a part too small for a token": {nodes: []int{24, 24, 24}, gap: time.Second, want: []bool{false, false, false}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			s := NewSplits(start)
+			for i, nodes := range tc.nodes {
+				require.Equal(t, tc.want[i], s.Spend(start.Add(time.Duration(i)*tc.gap), "a", limit, nodes), "request %d", i)
+			}
+		})
+	}
+}
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -52,6 +52,7 @@
 	store      *config.Store
 	members    *instance.Members
 	limiter    *account.Limiter
+	splits     *account.Splits // used instead of the limiter for comparison
 	admission  *target.Admission
 	transport  *target.Transport
 	gate       *target.Server
@@ -160,6 +161,7 @@
 		return err
 	}
 	n.limiter = account.New(s.Name, n.loop, n.clock, n.sendTake, n.mayMint)
+	n.splits = account.NewSplits(n.clock.Now())
 	n.store.OnChange(n.onTree)
 	n.members.OnBeat(n.onBeat)
 	n.members.OnView(n.onView)
@@ -191,7 +193,11 @@
 		peer.Self{Name: s.Name, Domain: s.Domain}, n.loop, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		n.policy.Choose, n.candidates, n.domainsOut, n.gate.Do, n.remote,
 	)
-	n.callers = caller.NewServer(n.clock.Now, n.store.Current, n.spend,
+	spend := n.spend
+	if n.policy.Split {
+		spend = n.spendSplit
+	}
+	n.callers = caller.NewServer(n.clock.Now, n.store.Current, spend,
 		caller.Tries{Try: n.dispatcher.Try, Retry: n.dispatcher.Retry}, n.events())
 	n.operators = operator.New(n.listeners.admin, operator.Seams{
 		Health: n.health, Ready: n.ready, State: n.state, Explain: n.explain, Metrics: n.metrics.Handler(),
@@ -235,6 +241,26 @@
 	return caller.Pass{Confirm: pass.Confirm, Refund: pass.Refund, Settle: pass.Settle}, nil
 }
 
+// splitAfter is the time after which a caller may retry a request that the fixed split refused.
+const splitAfter = 100 * time.Millisecond
+
+// spendSplit admits requests within this node's fixed part of the rate; the part of a request that did not run is lost.
+func (n *Node) spendSplit(ctx context.Context, name string) (caller.Pass, error) {
+	admitted := make(chan bool, 1)
+	err := n.loop.Call(ctx, func(now time.Time) {
+		a, _ := n.store.Snapshot().Tree().Account(name)
+		limit := account.Limit{Rate: a.Rate, Burst: a.Burst}
+		admitted <- n.splits.Spend(now, name, limit, n.members.Snapshot().Listed())
+	})
+	if err != nil {
+		return caller.Pass{}, fmt.Errorf("daemon: spending from a fixed split: %w", err)
+	}
+	if !<-admitted {
+		return caller.Pass{}, answer.NotRun(answer.Rate, "the account is beyond its part of the rate").WithAfter(splitAfter)
+	}
+	return caller.Pass{Confirm: func() error { return nil }, Refund: func() {}, Settle: func() {}}, nil
+}
+
 func (n *Node) probeBudget() float64 {
 	budget := 0.0
 	for _, r := range n.store.Snapshot().Tree().Routes() {
--- a/node/instance/view.go
+++ b/node/instance/view.go
@@ -160,6 +160,9 @@
 // Read tells whether the list has been read at all.
 func (v View) Read() bool { return v.read }
 
+// Listed returns the number of instances in the platform's list.
+func (v View) Listed() int { return len(v.listed) }
+
 // Row returns what is known of an instance's addresses.
 func (v View) Row(name string) (Instance, bool) {
 	row, ok := v.rows[name]
