Count the versions of removed homes, and refuse changes of homes that are not safe

Cause: the daemon passed only the homes of the current tree. A removed home kept its last version at the others for ever and held shares down; a retired one came back when a later version dropped it from both lists; the late report of an earlier boot could raise a version until the next heartbeat. Change: config.Version.Known names former homes too. A former home goes on reporting its version, and one that restarted is reported by who hears it. The ledger forgets retired homes for good. verbctl pack refuses a version that removes a home without retiring it, or after which a majority of the old and one of the new homes need not share a home. Conclusion: safe while homes change, and live as long as removed homes are retired or run.

--- a/ctl/command/main_test.go
+++ b/ctl/command/main_test.go
@@ -73,6 +73,8 @@
 		"pack again":     {args: "pack --version 7 --out " + dir + " testdata/old.yaml", setup: packed},
 		"pack reuse":     {args: "pack --version 7 --out " + dir + " testdata/new.yaml", setup: packed, code: ExitFailed},
 		"pack older":     {args: "pack --version 6 --out " + dir + " testdata/old.yaml", setup: packed, code: ExitFailed},
+		"pack removed":   {args: "pack --version 8 --out " + dir + " testdata/removed.yaml", setup: packed, code: ExitFailed},
+		"pack replaced":  {args: "pack --version 8 --out " + dir + " testdata/replaced.yaml", setup: packed, code: ExitFailed},
 		"pack bad":       {args: "pack --version 8 --out " + dir + " testdata/bad.yaml", code: ExitRejected},
 		"pack zero":      {args: "pack --version 0 --out " + dir + " testdata/old.yaml", code: ExitUsage},
 		"show account":   {args: "show --account lombardia testdata/old.yaml"},
--- a/ctl/declare/pack.go
+++ b/ctl/declare/pack.go
@@ -17,10 +17,11 @@
 	return fmt.Sprintf("declare: version %d is already packed here, and %d is not above it: nodes adopt only higher versions", e.Old, e.New)
 }
 
-// Pack checks the files and writes their manifest and parts to a directory, the manifest last.
+// Pack checks the files, also against the version packed to the directory before, and writes their manifest and parts to a directory, the manifest last.
 func Pack(version int64, files []config.File, dir string) (config.Manifest, error) {
 	// Faults are reported under the paths that the operator gave.
-	if _, err := config.Parse(version, files); err != nil {
+	tree, err := config.Parse(version, files)
+	if err != nil {
 		return config.Manifest{}, err
 	}
 	m, parts, err := config.Pack(version, byBase(files))
@@ -30,13 +31,21 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return config.Manifest{}, fmt.Errorf("declare: making the directory: %w", err)
 	}
-	old, _, err := readPacked(dir)
+	old, oldFiles, err := readPacked(dir)
 	switch {
 	case errors.Is(err, os.ErrNotExist):
 	case err != nil:
 		return config.Manifest{}, fmt.Errorf("declare: checking the version packed before: %w", err)
 	case version < old.Version, version == old.Version && !bytes.Equal(m.Bytes(), old.Bytes()):
 		return config.Manifest{}, VersionError{Old: old.Version, New: version}
+	default:
+		before, err := config.Parse(old.Version, oldFiles)
+		if err != nil {
+			return config.Manifest{}, fmt.Errorf("declare: checking the version packed before: %w", err)
+		}
+		if err := checkHomes(before.Fleet(), tree.Fleet()); err != nil {
+			return config.Manifest{}, err
+		}
 	}
 	for d, data := range parts {
 		if err := replace(filepath.Join(dir, partPrefix+d.String()), data); err != nil {
--- a/node/account/decision_test.go
+++ b/node/account/decision_test.go
@@ -288,6 +288,38 @@
 			run(l, ms(9000), ms(9980))
 			return l
 		}},
+		"a retired home is dropped from both lists": {want: 5, ledger: func() *Ledger {
+			all := []string{"a", "b", "c"}
+			l := NewLedger("a", 0)
+			l.SetShares(0, NewShares("a", fleetTree(1, all, nil, limit)))
+			l.SetKnown(0, map[string]int64{"b": 1, "c": 1})
+			run(l, 0, ms(3000))
+			l.SetShares(ms(3000), NewShares("a", fleetTree(2, all, []string{"c"}, limit)))
+			l.SetShares(ms(3000), shares(3, limit))
+			l.SetKnown(ms(3000), known(3))
+			run(l, ms(3000), ms(9980))
+			return l
+		}},
+		"a removed home is not retired": {want: 3, ledger: func() *Ledger {
+			l := NewLedger("a", 0)
+			l.SetShares(0, NewShares("a", fleetTree(1, []string{"a", "b", "c"}, nil, limit)))
+			l.SetKnown(0, map[string]int64{"b": 1, "c": 1})
+			run(l, 0, ms(3000))
+			l.SetShares(ms(3000), shares(2, limit))
+			l.SetKnown(ms(3000), known(2))
+			run(l, ms(3000), ms(9980))
+			return l
+		}},
+		"a removed home holds the new version": {want: 5, ledger: func() *Ledger {
+			l := NewLedger("a", 0)
+			l.SetShares(0, NewShares("a", fleetTree(1, []string{"a", "b", "c"}, nil, limit)))
+			l.SetKnown(0, map[string]int64{"b": 1, "c": 1})
+			run(l, 0, ms(3000))
+			l.SetShares(ms(3000), shares(2, limit))
+			l.SetKnown(ms(3000), map[string]int64{"b": 2, "c": 2})
+			run(l, ms(3000), ms(9980))
+			return l
+		}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -78,6 +78,11 @@
 	for _, name := range s.others {
 		l.listed[name] = true
 	}
+	// A retired home stays excluded when a later version drops its name from both lists.
+	for _, name := range s.retired {
+		delete(l.listed, name)
+		delete(l.known, name)
+	}
 	for name, limit := range s.limits {
 		if _, ok := l.shares[name]; !ok {
 			share := Share{}
--- a/node/config/store.go
+++ b/node/config/store.go
@@ -165,7 +165,7 @@
 
 // Beat takes the heartbeat of another node with ages as of at; it must be called on the control goroutine.
 func (c *Store) Beat(at time.Time, b instance.Beat) {
-	v := c.Snapshot().WithConfirm(at, b.Evidence)
+	v := c.Snapshot().WithBeat(at, b)
 	c.version.Store(&v)
 	if b.Version > v.Number() && b.Version > v.Pending().Version && !c.hinting {
 		if row, ok := c.s.View().Row(b.Name); ok {
--- a/node/config/version.go
+++ b/node/config/version.go
@@ -57,6 +57,19 @@
 	version  int64
 	at       time.Time // the home sent a heartbeat at this time or later
 	agreeing time.Time // the same, with no version higher than the one held here
+
+	// lowest is the lowest version of this boot and of one reported at nearly the same time, until lowestAt+forgetAge.
+	// Ages are overestimated, so the report of an earlier boot can seem to be the newer one until the next heartbeat.
+	lowest   int64
+	lowestAt time.Time
+}
+
+// known returns the version that counts for the home.
+func (h heard) known(now time.Time) int64 {
+	if h.lowest > 0 && now.Sub(h.lowestAt) < forgetAge {
+		return min(h.version, h.lowest)
+	}
+	return h.version
 }
 
 type answered struct {
@@ -79,6 +92,7 @@
 	settled  bool
 	answer   answered
 	homes    map[uint32]heard
+	former   []string // homes of versions held before that were removed without being retired
 
 	// Computed from the above on each change, since each request asks for the verdict.
 	majority  time.Time // more than half of the homes were heard at this time or later
@@ -148,6 +162,7 @@
 	if v.static || m.Version <= v.held.Version {
 		return v
 	}
+	v.former = formerHomes(slices.Concat(v.former, v.tree.fleet.Active()), t.fleet)
 	v.held, v.digest, v.tree = m, m.Digest(), t
 	if v.pending.Version <= m.Version {
 		v.pending = Manifest{}
@@ -163,6 +178,17 @@
 	return v.computed()
 }
 
+// formerHomes returns the names that are no homes in a fleet and not retired there.
+func formerHomes(names []string, f Fleet) []string {
+	var former []string
+	for _, name := range names {
+		if !slices.Contains(f.Homes, name) && !slices.Contains(former, name) {
+			former = append(former, name)
+		}
+	}
+	return former
+}
+
 // WithoutPending returns v after the parts of a manifest could not be had; a later offer starts again.
 func (v Version) WithoutPending(m Manifest) Version {
 	if v.pending.Version == m.Version {
@@ -215,6 +241,18 @@
 	return v
 }
 
+// WithBeat returns v after a heartbeat received from its sender.
+// A former home that restarted does not know that it was one, so its report is made up from the heartbeat itself.
+func (v Version) WithBeat(at time.Time, b instance.Beat) Version {
+	e := b.Evidence
+	id := HomeID(b.Name)
+	reported := slices.ContainsFunc(e.Homes, func(h instance.Home) bool { return h.ID == id })
+	if slices.Contains(v.former, b.Name) && e.Version > 0 && !reported {
+		e.Homes = append(slices.Clone(e.Homes), instance.Home{ID: id, Boot: b.Boot, Version: e.Version, Age: e.Age})
+	}
+	return v.WithConfirm(at, e)
+}
+
 // WithConfirm returns v after a heartbeat whose ages are as of the given time.
 func (v Version) WithConfirm(at time.Time, e instance.Evidence) Version {
 	if v.static {
@@ -239,11 +277,15 @@
 
 // withRow takes the report that the home itself sent last; for one boot its version only rises.
 func (v Version) withRow(h heard, at time.Time, row instance.Home) heard {
-	if h.boot != row.Boot || h.at.IsZero() {
-		if !h.at.IsZero() && !at.After(h.at) {
+	if h.at.IsZero() {
+		h.boot = row.Boot
+	}
+	if h.boot != row.Boot {
+		h.lowest, h.lowestAt = min(h.known(at), row.Version), laterOf(h.at, at)
+		if !at.After(h.at) {
 			return h
 		}
-		h = heard{boot: row.Boot, agreeing: h.agreeing}
+		h.boot, h.version, h.at = row.Boot, 0, time.Time{}
 	}
 	h.version = max(h.version, row.Version)
 	h.at = laterOf(h.at, at)
@@ -253,11 +295,11 @@
 	return h
 }
 
-// bounded drops reports of instances that are no homes in the held tree and no longer heard.
+// bounded drops reports of instances that are no homes in a version held so far and no longer heard.
 // Reports of homes stay however old they are: a silent home may still lend under the version it last had.
 func (v Version) bounded(homes map[uint32]heard, now time.Time) map[uint32]heard {
 	keep := map[uint32]bool{}
-	for _, name := range v.tree.fleet.Homes {
+	for _, name := range slices.Concat(v.tree.fleet.Homes, v.former) {
 		keep[HomeID(name)] = true
 	}
 	for id, h := range homes {
@@ -344,13 +386,31 @@
 
 // HomeHeard returns when the most recently heard home sent its heartbeat, zero if none was heard.
 func (v Version) HomeHeard() time.Time {
+	former := map[uint32]bool{}
+	for _, name := range v.former {
+		former[HomeID(name)] = true
+	}
 	var at time.Time
-	for _, h := range v.homes {
-		at = laterOf(at, h.at)
+	for id, h := range v.homes {
+		if !former[id] { // former homes do not read the service
+			at = laterOf(at, h.at)
+		}
 	}
 	return at
 }
 
+// Known returns the versions of the other homes, also of former ones, that count for the shares of accounts;
+// zero stands for a home that was never heard.
+func (v Version) Known(now time.Time) map[string]int64 {
+	known := map[string]int64{}
+	for _, name := range slices.Concat(v.tree.fleet.Active(), v.former) {
+		if name != v.self {
+			known[name] = v.homes[HomeID(name)].known(now)
+		}
+	}
+	return known
+}
+
 // Homes returns what the node knows of each home of the held tree that is not retired, itself included, in the tree's order.
 func (v Version) Homes(now time.Time) []Home {
 	var out []Home
@@ -371,7 +431,7 @@
 	if fresh(now, v.confirmed) {
 		e.Confirmed, e.Age = true, now.Sub(v.confirmed)
 	}
-	if v.IsHome() {
+	if v.IsHome() || slices.Contains(v.former, v.self) {
 		e.Homes = append(e.Homes, instance.Home{ID: HomeID(v.self), Boot: v.boot, Version: v.held.Version})
 	}
 	for _, id := range slices.Sorted(maps.Keys(v.homes)) {
--- a/node/config/version_test.go
+++ b/node/config/version_test.go
@@ -163,3 +163,69 @@
 		})
 	}
 }
+
+// TestKnown guards against a version of a home that counts although it, or an earlier boot, may lend under a lower one,
+// and against a removed home whose old version counts for ever.
+func TestKnown(t *testing.T) {
+	m7, t7 := numbered(t, 7, "")
+	m8, _, without := packed(t, 8, "homes: [a, c, d, e]", "")
+	_, _, retired := packed(t, 8, "homes: [a, b, c, d, e], retired: [b]", "")
+	report := func(boot uint32, version int64, age time.Duration) instance.Beat {
+		return instance.Beat{Name: "c", Boot: 1, Evidence: instance.Evidence{
+			Version: 7, Homes: []instance.Home{{ID: HomeID("b"), Boot: boot, Version: version, Age: age}},
+		}}
+	}
+	own := func(boot uint32, version int64) instance.Beat {
+		return instance.Beat{Name: "b", Boot: boot, Evidence: instance.Evidence{Version: version}}
+	}
+	cases := map[string]struct {
+		before, after []instance.Beat // before and after the adoption of another tree
+		tree          Tree
+		later         time.Duration
+		want          int64
+		unknown       bool
+	}{
+		"never heard":                         {},
+		"restart with a lower version":        {before: []instance.Beat{report(1, 7, time.Second), report(2, 6, 0)}, want: 6},
+		"late report of the earlier boot":     {before: []instance.Beat{report(2, 6, time.Second), report(1, 7, 0)}, want: 6},
+		"restart that seems to be earlier":    {before: []instance.Beat{report(1, 7, 0), report(2, 6, time.Second)}, want: 6},
+		"restart with a higher version":       {before: []instance.Beat{report(1, 6, time.Second), report(2, 7, 0)}, want: 6},
+		"restart with a higher version, long": {before: []instance.Beat{report(1, 6, time.Second), report(2, 7, 0)}, later: forgetAge, want: 7},
+		"silent for long":                     {before: []instance.Beat{report(1, 6, 0)}, later: time.Hour, want: 6},
+		"removed and silent":                  {before: []instance.Beat{report(1, 7, 0)}, tree: without, later: time.Hour, want: 7},
+		"removed, reported by others":         {before: []instance.Beat{report(1, 7, 0)}, tree: without, after: []instance.Beat{report(1, 8, 0)}, want: 8},
+		"removed, restarted, heard":           {before: []instance.Beat{report(1, 7, time.Second)}, tree: without, after: []instance.Beat{own(2, 8)}, later: forgetAge, want: 8},
+		"removed, restarted without a tree":   {before: []instance.Beat{report(1, 7, time.Second)}, tree: without, after: []instance.Beat{own(2, 0)}, later: forgetAge, want: 7},
+		"retired":                             {before: []instance.Beat{report(1, 7, 0)}, tree: retired, unknown: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			v := NewVersion("a", 3).WithTree(m7, t7)
+			for _, b := range tc.before {
+				v = v.WithBeat(at(0), b)
+			}
+			if tc.tree.Version() > 0 {
+				v = v.WithTree(m8, tc.tree)
+			}
+			for _, b := range tc.after {
+				v = v.WithBeat(at(0), b)
+			}
+			got, ok := v.WithBeat(start.Add(tc.later), instance.Beat{Name: "d"}).Known(start.Add(tc.later))["b"]
+			require.Equal(t, !tc.unknown, ok)
+			require.Equal(t, tc.want, got)
+		})
+	}
+}
+
+// TestFormerHome guards against a removed home that stops telling its version, and so holds the shares of others down,
+// and against one that counts as a reader of the service.
+func TestFormerHome(t *testing.T) {
+	m7, t7 := numbered(t, 7, "")
+	m8, _, without := packed(t, 8, "homes: [a, c, d, e]", "")
+	former := NewVersion("b", 1).WithTree(m7, t7).WithTree(m8, without)
+	require.False(t, former.IsHome())
+	rows := former.Evidence(at(0)).Homes
+	require.Equal(t, []instance.Home{{ID: HomeID("b"), Boot: 1, Version: 8}}, rows)
+	other := NewVersion("a", 1).WithTree(m7, t7).WithTree(m8, without)
+	require.True(t, other.WithConfirm(at(0), instance.Evidence{Homes: rows}).HomeHeard().IsZero())
+}
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -108,7 +108,7 @@
 // onTree passes a new tree to the other slices; it runs on the control goroutine.
 func (n *Node) onTree(now time.Time, t config.Tree) {
 	n.limiter.OnTree(now, t)
-	n.limiter.OnKnown(now, n.known(now))
+	n.limiter.OnKnown(now, n.store.Snapshot().Known(now))
 	n.admission.SetSlots(now, n.slots(t))
 	n.admission.SetOut(now, t.IsOut(n.settings.Domain))
 	n.journal.Info("configuration in force", journal.Version(t.Version()))
@@ -129,16 +129,7 @@
 // onBeat takes what another node's heartbeat says of versions; it runs on the control goroutine.
 func (n *Node) onBeat(at time.Time, b instance.Beat) {
 	n.store.Beat(at, b)
-	n.limiter.OnKnown(at, n.known(at))
-}
-
-// known returns the version known of each home; zero stands for a home that was never heard.
-func (n *Node) known(now time.Time) map[string]int64 {
-	known := map[string]int64{}
-	for _, h := range n.store.Snapshot().Homes(now) {
-		known[h.Name] = h.Version
-	}
-	return known
+	n.limiter.OnKnown(at, n.store.Snapshot().Known(at))
 }
 
 // onView follows what the platform says of this node's own target; it runs on the control goroutine.
