Test the bound with the version rule and the lending scheme together

Cause: TestBound used a simplified rule for versions and evidence, and the tests of config use no shares, so a gap between them would not be seen. Change: TestJointBound runs 14 nodes whose versions, evidence and heartbeats come from config.Version and whose shares come from Ledger and Book, through loss, pauses, restarts, partitions, a service that lags by up to two versions, and homes added, retired and dropped as verbctl pack allows. TestJointBoundNaive (no evidence, own version only, several homes added at once) exceeds the bound.

--- a/node/account/fleet_test.go
+++ b/node/account/fleet_test.go
@@ -91,6 +91,8 @@
 	heard   map[string]time.Duration // own time at which the answered ping was sent
 	at      map[string]int64         // version at that time
 	waiting int
+	allowed func() bool // whether the node may mint, if not as in mint
+	serves  func() bool // whether the node may serve, if not always
 }
 
 type admission struct {
@@ -183,7 +185,7 @@
 func (f *fleet) use() {
 	var limit Limit
 	for _, n := range f.nodes {
-		if n.up {
+		if n.up && n.version > 0 {
 			a, _ := f.trees[n.version-1].Account(fleetAccount)
 			limit = Limit{Rate: max(limit.Rate, a.Rate), Burst: max(limit.Burst, a.Burst)}
 		}
@@ -313,6 +315,9 @@
 }
 
 func (n *fleetNode) mint() bool {
+	if n.allowed != nil {
+		return n.allowed()
+	}
 	if n.f.bad.mintAlways {
 		return true
 	}
@@ -457,6 +462,10 @@
 }
 
 func (n *fleetNode) request() {
+	if n.serves != nil && !n.serves() {
+		n.f.refused++
+		return
+	}
 	d, orders := n.book.Spend(n.time(), fleetAccount)
 	if d.Verdict == Wait {
 		n.waiting++
--- /dev/null
+++ b/node/account/joint_test.go
@@ -0,0 +1,326 @@
+package account
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/instance"
+)
+
+// jointRule is how a node decides, from the state of its versions, whether it may serve and mint and what it knows of homes.
+type jointRule struct {
+	serve func(v config.Version, now time.Time) bool
+	mint  func(v config.Version, now time.Time) bool
+	known func(v config.Version, now time.Time) map[string]int64
+	bad   fault
+	hasty bool // operators add many homes at once
+}
+
+// daemonRule is the rule of the daemon.
+var daemonRule = jointRule{
+	serve: func(v config.Version, now time.Time) bool { return v.Verdict(now).Code == config.Serve },
+	mint: func(v config.Version, now time.Time) bool {
+		return v.Verdict(now).Code == config.Serve && v.MajorityHeard(now)
+	},
+	known: config.Version.Known,
+}
+
+// jointNode is a node whose versions, evidence and heartbeats come from config.Version.
+type jointNode struct {
+	*fleetNode
+	state config.Version
+	id    uint32
+	ready time.Duration // when a restarted home counts as running again, so that another one may crash
+}
+
+// joint is a fleet of such nodes with a configuration service that may be stale.
+type joint struct {
+	*fleet
+	rule    jointRule
+	members []*jointNode
+	homes   []string
+	retired []string
+	next    int // node that becomes a home next
+	limit   Limit
+	lag     int64
+	out     map[string]bool // nodes that do not reach the service
+	boots   uint32
+}
+
+const jointNodes, jointHomes = 14, 4
+
+func newJoint(seed uint64, drift bool, loss float64, rule jointRule, limit Limit) *joint {
+	f := &fleet{
+		rnd: rand.New(rand.NewPCG(seed, 2)), m: mishaps{loss: loss}, bad: rule.bad, byName: map[string]*fleetNode{}, cut: map[[2]string]bool{},
+	}
+	j := &joint{fleet: f, rule: rule, limit: limit, next: jointHomes, out: map[string]bool{}}
+	for i := range jointNodes {
+		n := &fleetNode{f: f, name: "n" + string(rune('a'+i)), speed: 1}
+		if drift {
+			n.speed = 0.99 + 0.01*float64(f.rnd.IntN(2))
+		}
+		f.nodes = append(f.nodes, n)
+		f.byName[n.name] = n
+		j.members = append(j.members, &jointNode{fleetNode: n})
+		if i < jointHomes {
+			j.homes = append(j.homes, n.name)
+		}
+	}
+	j.publish()
+	for _, n := range j.members {
+		j.restart(n)
+	}
+	return j
+}
+
+func (j *joint) publish() {
+	version := int64(len(j.trees) + 1)
+	j.trees = append(j.trees, fleetTree(version, slices.Clone(j.homes), slices.Clone(j.retired), j.limit))
+}
+
+func (j *joint) at(n *jointNode) time.Time { return time.Unix(1000, 0).Add(n.time()) }
+
+func (j *joint) restart(n *jointNode) {
+	j.boots++
+	n.id = j.boots
+	n.boot++
+	n.up, n.paused, n.start, n.version, n.waiting = true, 0, j.now, 0, 0
+	n.book, n.ledger = NewBook(j.rnd.Uint64()), NewLedger(n.name, 0)
+	n.state = config.NewVersion(n.name, n.id).WithTrying(j.at(n))
+	n.allowed = func() bool { return j.rule.mint(n.state, j.at(n)) }
+	n.serves = func() bool { return j.rule.serve(n.state, j.at(n)) }
+	n.ready = j.now + 8*time.Second
+	n.tick()
+	j.read(n)
+	j.beat(n)
+}
+
+func (j *joint) adopt(n *jointNode, version int64) {
+	if version <= n.version {
+		return
+	}
+	tree := j.trees[version-1]
+	n.version = version
+	n.state = n.state.WithTree(config.Manifest{Version: version}, tree)
+	n.ledger.SetShares(n.time(), NewShares(n.name, tree))
+	n.book.SetHomes(HomesOf(tree))
+	n.ledger.SetKnown(n.time(), j.rule.known(n.state, j.at(n)))
+	j.use()
+}
+
+// read asks the configuration service, which may answer with an old version.
+func (j *joint) read(n *jointNode) {
+	sent := j.at(n)
+	if !j.out[n.name] {
+		version := max(1, int64(len(j.trees))-j.lag)
+		j.add(j.now+time.Duration(j.rnd.IntN(500))*time.Millisecond, n.fleetNode, func() {
+			j.adopt(n, version)
+			n.state = n.state.WithAnswer(sent, version, config.Manifest{Version: version}.Digest())
+		})
+	}
+	j.add(j.now+time.Second+time.Duration(j.rnd.IntN(500))*time.Millisecond, n.fleetNode, func() { j.read(n) })
+}
+
+// beat exchanges heartbeats with three nodes.
+func (j *joint) beat(n *jointNode) {
+	for range 3 {
+		p := j.members[j.rnd.IntN(len(j.members))]
+		if p == n {
+			continue
+		}
+		sent, boot := j.at(n), n.id
+		j.carry(n.fleetNode, p.fleetNode, func() {
+			answer, answered, peer := j.own(p), j.at(p), p.id
+			j.carry(p.fleetNode, n.fleetNode, func() {
+				if n.id != boot {
+					return
+				}
+				j.receive(n, answer.WithDelay(j.at(n).Sub(sent)))
+				second := j.own(n)
+				j.carry(n.fleetNode, p.fleetNode, func() {
+					if p.id == peer {
+						j.receive(p, second.WithDelay(j.at(p).Sub(answered)))
+					}
+				})
+			})
+		})
+	}
+	j.add(j.now+time.Second, n.fleetNode, func() { j.beat(n) })
+}
+
+func (j *joint) own(n *jointNode) instance.Beat {
+	return instance.Beat{Name: n.name, Boot: n.id, Evidence: n.state.Evidence(j.at(n))}
+}
+
+func (j *joint) receive(n *jointNode, b instance.Beat) {
+	n.state = n.state.WithBeat(j.at(n), b)
+	n.ledger.SetKnown(n.time(), j.rule.known(n.state, j.at(n)))
+	if b.Version > n.version && j.rnd.IntN(4) == 0 {
+		j.adopt(n, b.Version)
+	}
+}
+
+// steady tells whether all homes run the newest version, which operators check before they change the homes.
+func (j *joint) steady() bool {
+	for _, n := range j.members {
+		if slices.Contains(j.homes, n.name) && !n.gone && (!n.up || n.version < int64(len(j.trees)) || j.now < n.ready) {
+			return false
+		}
+	}
+	return true
+}
+
+// replace adds a home, or retires one that is terminated for good and adds another one, or drops retired homes from
+// both lists; these are the changes that verbctl pack accepts.
+func (j *joint) replace() {
+	if j.rule.hasty {
+		for range min(4, jointNodes-j.next) {
+			j.homes = append(j.homes, j.members[j.next].name)
+			j.next++
+		}
+		j.change()
+		return
+	}
+	if !j.steady() || j.lag > 0 {
+		return
+	}
+	if len(j.retired) > 0 {
+		j.homes = slices.DeleteFunc(j.homes, func(name string) bool { return slices.Contains(j.retired, name) })
+		j.retired = nil
+	} else if j.next < jointNodes-4 {
+		if j.rnd.IntN(2) == 0 {
+			j.homes = append(j.homes, j.members[j.next].name)
+			j.next++
+			j.change()
+			return
+		}
+		i := j.rnd.IntN(len(j.homes))
+		name := j.homes[i]
+		j.byName[name].up, j.byName[name].gone = false, true
+		j.retired = []string{name}
+		j.homes = append(j.homes, j.members[j.next].name)
+		j.next++
+	}
+	j.change()
+}
+
+// change publishes other homes, often just before the nodes are separated.
+func (j *joint) change() {
+	j.publish()
+	if j.rnd.IntN(2) == 0 {
+		j.add(j.now+time.Duration(j.rnd.IntN(700))*time.Millisecond, nil, j.split)
+	}
+}
+
+// crash restarts a node; at most one home is down at a time, since a restart of all homes with an old service is not survived.
+func (j *joint) crash(n *jointNode) {
+	if !n.up || (slices.Contains(j.homes, n.name) && !j.steady()) {
+		return
+	}
+	n.up = false
+	j.add(j.now+time.Duration(j.rnd.IntN(1500))*time.Millisecond, nil, func() {
+		if !n.gone {
+			j.restart(n)
+		}
+	})
+}
+
+// split separates the nodes into two sides; the service is reached from one of them.
+func (j *joint) split() {
+	side := map[string]bool{}
+	for _, n := range j.nodes {
+		side[n.name] = j.rnd.IntN(2) == 0
+	}
+	for _, a := range j.nodes {
+		j.out[a.name] = side[a.name]
+		for _, b := range j.nodes {
+			j.cut[[2]string{a.name, b.name}] = side[a.name] != side[b.name]
+		}
+	}
+}
+
+// jointStorm runs a fleet through mishaps while bursts beyond the limit arrive at all nodes.
+func jointStorm(seed uint64, drift bool, loss float64, rule jointRule) *joint {
+	j := newJoint(seed, drift, loss, rule, Limit{Rate: 20, Burst: 40})
+	limits := []Limit{{Rate: 20, Burst: 40}, {Rate: 20, Burst: 40}, {Rate: 40, Burst: 20}}
+	var load, strike func()
+	load = func() {
+		j.burst(20+j.rnd.IntN(180), j.nodes)
+		j.add(j.now+time.Duration(200+j.rnd.IntN(6000))*time.Millisecond, nil, load)
+	}
+	strike = func() {
+		n := j.members[j.rnd.IntN(len(j.members))]
+		switch j.rnd.IntN(8) {
+		case 0:
+			n.paused = j.now + time.Duration(j.rnd.IntN(12000))*time.Millisecond
+		case 1, 2:
+			j.crash(n)
+		case 3:
+			j.split()
+		case 4:
+			clear(j.cut)
+			clear(j.out)
+		case 5:
+			j.lag = int64(j.rnd.IntN(3))
+		case 6:
+			j.limit = limits[j.rnd.IntN(len(limits))]
+			j.publish()
+		case 7:
+			clear(j.cut)
+			clear(j.out)
+			j.lag = 0
+			j.add(j.now+3*time.Second, nil, j.replace)
+		}
+		j.add(j.now+time.Duration(j.rnd.IntN(6000))*time.Millisecond, nil, strike)
+	}
+	j.add(10*time.Second, nil, load)
+	j.add(10*time.Second, nil, strike)
+	j.runUntil(45 * time.Second)
+	return j
+}
+
+// TestJointBound guards against a version rule and a lending scheme that keep the bound each by itself but not together,
+// while homes restart, are paused, cut off and replaced, and the configuration service serves old versions.
+func TestJointBound(t *testing.T) {
+	t.Parallel()
+	admitted, replaced := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		j := jointStorm(rapid.Uint64().Draw(t, "seed"), rapid.Bool().Draw(t, "drift"),
+			rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "loss"), daemonRule)
+		admitted += len(j.admissions)
+		replaced += j.next - jointHomes
+		if e := j.excess(); e > 1e-6 {
+			t.Fatalf("%.2f requests beyond the bound", e)
+		}
+	})
+	t.Logf("%d admissions, %d homes replaced", admitted, replaced)
+	require.Greater(t, admitted, 2000, "too few admissions for a check")
+	require.Greater(t, replaced, 10, "too few changes of homes for a check")
+}
+
+// TestJointBoundNaive guards against a check that no wrong rule can fail.
+func TestJointBoundNaive(t *testing.T) {
+	t.Parallel()
+	always := func(config.Version, time.Time) bool { return true }
+	cases := map[string]jointRule{
+		"no evidence, own version only, many homes added at once": {
+			serve: always, mint: always, known: func(config.Version, time.Time) map[string]int64 { return nil },
+			bad: fault{ownVersion: true}, hasty: true,
+		},
+	}
+	for name, rule := range cases {
+		t.Run(name, func(t *testing.T) {
+			worst := -1e9
+			for seed := uint64(1); seed <= 40 && worst <= 0; seed++ {
+				worst = max(worst, jointStorm(seed, true, 0.1, rule).excess())
+			}
+			require.Greater(t, worst, 0.0)
+		})
+	}
+}
