--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -29,7 +29,7 @@
 	// maxMessage bounds a control message; a part has at most 512 KB.
 	maxMessage = 1 << 20
 	// controlIdle closes a control connection that carries no messages.
-	controlIdle    = time.Minute
+	controlIdle = time.Minute
 	// controlWindow is a fixed receive window: gRPC otherwise sends a ping with each message to adapt it to the
 	// path. 64 KB carry a part of 512 KB in 8 round trips.
 	controlWindow  = 64 << 10
@@ -132,7 +132,7 @@
 // onTree passes a new tree to the other slices; it runs on the control goroutine.
 func (n *Node) onTree(now time.Time, t config.Tree) {
 	n.limiter.OnTree(now, t)
-	n.limiter.OnKnown(now, n.known(now))
+	n.limiter.OnKnown(now, n.store.Snapshot().Known(now))
 	n.admission.SetSlots(now, n.slots(t))
 	n.admission.SetOut(now, t.IsOut(n.settings.Domain))
 	n.journal.Info("configuration in force", journal.Version(t.Version()))
@@ -153,16 +153,7 @@
 // onBeat takes what another node's heartbeat says of versions; it runs on the control goroutine.
 func (n *Node) onBeat(at time.Time, b instance.Beat) {
 	n.store.Beat(at, b)
-	n.limiter.OnKnown(at, n.known(at))
-}
-
-// known returns the version known of each home; zero stands for a home that was never heard.
-func (n *Node) known(now time.Time) map[string]int64 {
-	known := map[string]int64{}
-	for _, h := range n.store.Snapshot().Homes(now) {
-		known[h.Name] = h.Version
-	}
-	return known
+	n.limiter.OnKnown(at, n.store.Snapshot().Known(at))
 }
 
 // onView follows what the platform says of this node's own target; it runs on the control goroutine.
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -46,6 +46,7 @@
 	store      *config.Store
 	members    *instance.Members
 	limiter    *account.Limiter
+	splits     *account.Splits // used instead of the limiter for comparison
 	admission  *target.Admission
 	transport  *target.Transport
 	gate       *target.Server
@@ -121,6 +122,7 @@
 		return UnusableError{Flag: "--tree", Err: err, Todo: "correct the file, and check it with verbctl check"}
 	}
 	n.limiter = account.New(s.Name, n.loop, n.clock, n.sendTake, n.mayMint)
+	n.splits = account.NewSplits(n.clock.Now())
 	n.store.OnChange(n.onTree)
 	n.members.OnBeat(n.onBeat)
 	n.members.OnView(n.onView)
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -74,10 +74,11 @@
 		return nil, target.Reply{Stages: stages}, err
 	}
 	first := leg{name: choice.Name, call: call, measured: route.Hedge > 0 && len(tried) == 0}
-	names, reply, err := []string{choice.Name}, target.Reply{}, error(nil)
+	var names []string
+	var reply target.Reply
 	if again == nil || after == 0 || !d.enter() {
 		r := d.run(first.withCancel())
-		reply, err = r.reply, r.err
+		names, reply, err = []string{choice.Name}, r.reply, r.err
 	} else {
 		names, reply, err = d.race(first.withCancel(), route, after, again)
 	}
