--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -201,8 +201,8 @@
 	return d
 }
 
-// WithHomes returns d with the first n instances as homes, spread evenly over the failure domains.
-func (d Deployment) WithHomes(n int) Deployment {
+// WithFirstHomes returns d with the first n instances as homes, spread evenly over the failure domains.
+func (d Deployment) WithFirstHomes(n int) Deployment {
 	d.homes = nil
 	for i := range n {
 		d.homes = append(d.homes, fmt.Sprintf("%s%d", Domains[i%len(Domains)], i/len(Domains)+1))
--- a/measure/slope/home.go
+++ b/measure/slope/home.go
@@ -48,7 +48,7 @@
 	if l.Borrowers < 0 || l.Borrowers > maxBorrowers || l.Every < 10*time.Millisecond {
 		return HomeUse{}, LoadError{Load: l}
 	}
-	d := deployment.Abitudini().WithNodes(len(deployment.Domains)).WithHomes(1)
+	d := deployment.Abitudini().WithNodes(len(deployment.Domains)).WithFirstHomes(1)
 	f, err := fleet.Start(ctx, fleet.Settings{Binary: binary, Dir: dir, Deployment: d, Direct: true})
 	if err != nil {
 		return HomeUse{}, fmt.Errorf("slope: starting a home: %w", err)
