--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -31,16 +31,12 @@
 		peer.Self{Name: s.Name, Domain: s.Domain}, n.loop, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		n.policy.Choose, n.candidates, n.domainsOut, n.atGate, n.remote,
 	)
-<<<<<<< HEAD
 	n.dispatcher.Observe = n.observe
-	n.callers = caller.NewServer(n.clock.Now, n.store.Current, n.spend,
-=======
 	spend := n.spend
 	if n.policy.Split {
 		spend = n.spendSplit
 	}
 	n.callers = caller.NewServer(n.clock.Now, n.store.Current, spend,
->>>>>>> main
 		caller.Tries{Try: n.try, Retry: n.dispatcher.Retry}, n.events(), n.journal.Library("caller"))
 	n.operators = operator.New(n.listeners.admin, operator.Seams{
 		Health: n.health, Ready: n.ready, State: n.state, Explain: n.explain, Metrics: n.metrics.Handler(),
