Drop accounts that a version removes

Cause: a home kept the shares of accounts that the tree no longer has, or that moved to other homes, until its restart. Change: the ledger drops an account once its share is zero under every version that counts and its loans have expired. The book drops a stock when it is idle, as before; a test now covers both. Conclusion: the memory of a home follows the tree.

--- a/node/account/book.go
+++ b/node/account/book.go
@@ -60,7 +60,7 @@
 	return homes
 }
 
-// SetHomes adopts the homes of a new version.
+// SetHomes adopts the homes of a new version. The stock of an account that it lacks is returned and dropped by Tick.
 func (b *Book) SetHomes(homes map[string][]string) {
 	b.homes = homes
 	for name, s := range b.stocks {
--- a/node/account/decision_test.go
+++ b/node/account/decision_test.go
@@ -352,3 +352,60 @@
 		})
 	}
 }
+
+// TestRemovedAccounts guards against memory that grows with the accounts of earlier versions, and against tokens that
+// are lent again too early when an account comes back.
+func TestRemovedAccounts(t *testing.T) {
+	homes := []string{"a", "b"}
+	empty := func(version int64) config.Tree {
+		return config.NewTree(version, config.Fleet{Homes: homes}, nil, nil)
+	}
+	full := func(version int64) config.Tree { return fleetTree(version, homes, nil, Limit{Rate: 100, Burst: 10}) }
+	l, b := NewLedger("a", 0), NewBook(9)
+	now := time.Duration(0)
+	adopt := func(tree config.Tree) {
+		l.SetShares(now, NewShares("a", tree))
+		l.SetKnown(now, map[string]int64{"b": tree.Version()})
+		b.SetHomes(HomesOf(tree))
+	}
+	send := func(orders []Order) {
+		for len(orders) > 0 {
+			o := orders[0]
+			g := Grant{Seq: o.Take.Seq}
+			if o.Home == "a" {
+				g = l.Take(now, o.Take)
+			}
+			orders = append(orders[1:], b.Grant(now, o.Home, g)...)
+		}
+	}
+	run := func(length time.Duration) {
+		for end := now + length; now < end; now += tickEvery {
+			l.Allow(now, true)
+			l.Tick(now)
+			send(b.Tick(now))
+		}
+	}
+	adopt(full(1))
+	run(4 * time.Second)
+	_, orders := b.Spend(now, fleetAccount)
+	send(orders)
+	require.Equal(t, Admit, b.Resume(now, fleetAccount).Verdict)
+	require.NotEmpty(t, l.loans)
+	adopt(empty(2))
+	require.Contains(t, l.homes, fleetAccount, "its loan is still out")
+	run(time.Second)
+	adopt(full(3))
+	run(time.Second)
+	require.Zero(t, l.homes[fleetAccount].WithMint(now).Level(), "the loans of version 1 may still be spent")
+	run(2 * time.Second)
+	require.Positive(t, l.homes[fleetAccount].WithMint(now).Level())
+	adopt(empty(4))
+	run(8 * time.Second)
+	require.Empty(t, l.homes)
+	require.Empty(t, l.shares)
+	require.Empty(t, l.loans)
+	require.Empty(t, l.gone)
+	require.Empty(t, b.stocks)
+	require.Empty(t, b.waiting)
+	require.Empty(t, b.accounts)
+}
--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -55,6 +55,7 @@
 	homes   map[string]Home
 	loans   map[loanKey]Loan
 	due     []dueLoan
+	gone    map[string]bool // accounts without a share here under any version that counts, until their loans expire
 	mint    bool
 	allowed time.Duration
 }
@@ -162,7 +163,11 @@
 }
 
 func (l *Ledger) limit(now time.Duration) {
+	l.gone = map[string]bool{}
 	for name, h := range l.homes {
+		if _, ok := l.current.limits[name]; !ok && l.lowest == l.current.version {
+			l.gone[name] = true
+		}
 		if l.mint {
 			h = h.WithMint(now)
 		}
@@ -182,7 +187,8 @@
 	l.mint, l.allowed = mint, now
 }
 
-// Tick drops loans that have expired and applies versions that have become safe.
+// Tick drops loans that have expired and accounts that no longer have a share here, and applies versions that have
+// become safe.
 func (l *Ledger) Tick(now time.Duration) {
 	l.observe(now)
 	n := 0
@@ -198,6 +204,13 @@
 		}
 	}
 	l.due = l.due[n:]
+	for name := range l.gone {
+		if l.homes[name].loans == 0 {
+			delete(l.homes, name)
+			delete(l.shares, name)
+			delete(l.gone, name)
+		}
+	}
 }
 
 // Take applies a Take.
