Cut the old homes off when others are published in the joint test

Change: half of the changes of homes cut the old homes off at once; the naive test reports how many runs exceed the bound.

--- a/node/account/joint_test.go
+++ b/node/account/joint_test.go
@@ -210,11 +210,15 @@
 	j.change()
 }
 
-// change publishes other homes, often just before the nodes are separated.
+// change publishes other homes, often just before the nodes are separated, or when the old homes are cut off.
 func (j *joint) change() {
+	old := j.trees[len(j.trees)-1].Fleet().Homes
 	j.publish()
-	if j.rnd.IntN(2) == 0 {
+	switch j.rnd.IntN(4) {
+	case 0:
 		j.add(j.now+time.Duration(j.rnd.IntN(700))*time.Millisecond, nil, j.split)
+	case 1, 2:
+		j.separate(func(name string) bool { return slices.Contains(old, name) })
 	}
 }
 
@@ -232,10 +236,13 @@
 }
 
 // split separates the nodes into two sides; the service is reached from one of them.
-func (j *joint) split() {
+func (j *joint) split() { j.separate(func(string) bool { return j.rnd.IntN(2) == 0 }) }
+
+// separate cuts the chosen nodes off from the others and from the service.
+func (j *joint) separate(chosen func(name string) bool) {
 	side := map[string]bool{}
 	for _, n := range j.nodes {
-		side[n.name] = j.rnd.IntN(2) == 0
+		side[n.name] = chosen(n.name)
 	}
 	for _, a := range j.nodes {
 		j.out[a.name] = side[a.name]
@@ -316,10 +323,15 @@
 	}
 	for name, rule := range cases {
 		t.Run(name, func(t *testing.T) {
-			worst := -1e9
-			for seed := uint64(1); seed <= 40 && worst <= 0; seed++ {
-				worst = max(worst, jointStorm(seed, true, 0.1, rule).excess())
+			worst, found := -1e9, 0
+			for seed := uint64(1); seed <= 10; seed++ {
+				e := jointStorm(seed, true, 0.1, rule).excess()
+				worst = max(worst, e)
+				if e > 0 {
+					found++
+				}
 			}
+			t.Logf("%d of 10 runs exceed the bound, the worst by %.2f", found, worst)
 			require.Greater(t, worst, 0.0)
 		})
 	}
