Keep a token between the requests of an account in steady flow

A home that kept its last tokens from a Take ahead of demand counted as empty for 1 ms, in which requests were refused. Change: from a demand of 2 a node keeps one token. Requests that wait ask a home again that kept tokens.

--- a/node/account/calm_test.go
+++ b/node/account/calm_test.go
@@ -112,3 +112,28 @@
 		})
 	}
 }
+
+// TestRandomFlow guards against requests of an account in random flow at one node that wait for a round trip. The design
+// adds 0.68 ms for 99 in 100 requests, less than a round trip between failure domains, so at most 1 in 100 may wait.
+func TestRandomFlow(t *testing.T) {
+	cases := map[string]struct{ rate, share float64 }{
+		"5 a second":   {rate: 5, share: 1}, // reported only: demand falls below steadyDemand between requests
+		"10 a second":  {rate: 10, share: 0.01},
+		"20 a second":  {rate: 20, share: 0.01},
+		"100 a second": {rate: 100, share: 0.01},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			limit := Limit{Rate: tc.rate / 0.8, Burst: 2 * tc.rate}
+			f := newFleet(10, mishaps{seed: 3}, fault{}, fleetTree(1, fleetHomes[:3], nil, limit))
+			sent := 0.0
+			for at := 12 * time.Second; at < 112*time.Second; sent++ {
+				f.add(at, f.nodes[9], f.nodes[9].request)
+				at += time.Duration(f.rnd.ExpFloat64() / tc.rate * float64(time.Second))
+			}
+			f.runUntil(114 * time.Second)
+			t.Logf("%.0f sent, %.2f%% waited, %d refused, %d takes", sent, 100*float64(f.waits)/sent, f.refused, f.takes)
+			require.LessOrEqual(t, float64(f.waits), tc.share*sent)
+		})
+	}
+}
--- a/node/account/decision_test.go
+++ b/node/account/decision_test.go
@@ -409,3 +409,25 @@
 	require.Empty(t, b.waiting)
 	require.Empty(t, b.accounts)
 }
+
+// TestAskHomeThatKeeps guards against a request that is refused although a home has tokens left, which it kept from a
+// node that wanted some ahead of demand, and against asking a home again at once that lends nothing.
+func TestAskHomeThatKeeps(t *testing.T) {
+	cases := map[string]struct {
+		grant GrantRow
+		want  bool
+	}{
+		"it kept some":      {grant: GrantRow{Tokens: 1}, want: true},
+		"it is empty":       {grant: GrantRow{Tokens: 1, After: time.Second}},
+		"it may not lend":   {grant: GrantRow{}},
+		"it lent as wanted": {grant: GrantRow{Tokens: 2}, want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, _ := NewStock([]string{"a"}, 0).WithTake(0, "a", 1, 0, 2, 1)
+			s = s.WithGrant(0, "a", 1, tc.grant)
+			home, _ := s.Ask(0, 5)
+			require.Equal(t, tc.want, home == "a")
+		})
+	}
+}
--- a/node/account/stock.go
+++ b/node/account/stock.go
@@ -11,6 +11,9 @@
 	demandSpan = time.Second
 	// slotSpan groups spent tokens that may still be refunded, so that their number does not grow with the rate.
 	slotSpan = 25 * time.Millisecond
+	// steadyDemand is the demand from which a node keeps a token between requests, though none is due within Window.
+	// At 1.5, two requests that met at one of 1,200 nodes reserved a token, and an account of 5/s was refused.
+	steadyDemand = 2
 	// renewal is how long before its expiry a token is returned in exchange for a new one.
 	renewal = 500 * time.Millisecond
 	// silence is how long a home that failed to answer is not asked again.
@@ -43,10 +46,11 @@
 	sent time.Duration
 }
 
-// pauseAt is a home that has no tokens until a time.
+// pauseAt is a home that has no tokens until a time, or that keeps its last ones for requests that wait.
 type pauseAt struct {
 	home  string
 	until time.Duration
+	keeps bool
 }
 
 // debt is what a home believes the node to hold, as of the last Take.
@@ -162,10 +166,14 @@
 
 // ahead returns the number of tokens to hold in advance.
 func (s Stock) ahead(now time.Duration) int {
-	if now-s.spentAt >= Window {
-		return 0
+	demand, n := s.decayed(now), 0
+	if now-s.spentAt < Window {
+		n = int(demand / demandSpan.Seconds() * Window.Seconds())
 	}
-	return int(s.decayed(now) / demandSpan.Seconds() * Window.Seconds())
+	if demand >= steadyDemand {
+		n = max(1, n)
+	}
+	return n
 }
 
 // WithSpend returns s without one token, the one that expires first, and the token.
@@ -244,6 +252,11 @@
 	return 0
 }
 
+// keeps tells whether a home that lent fewer tokens than wanted has more for requests that wait.
+func (s Stock) keeps(home string) bool {
+	return slices.ContainsFunc(s.empty, func(p pauseAt) bool { return p.home == home && p.keeps })
+}
+
 // wanted returns the tokens already asked for and likely to come.
 func (s Stock) wanted(now time.Duration) int {
 	n := 0
@@ -267,7 +280,7 @@
 	}
 	for i := range s.homes {
 		home := s.homes[(s.next+i)%len(s.homes)]
-		if !s.isAsked(home) && s.emptyUntil(home) <= now {
+		if !s.isAsked(home) && (s.emptyUntil(home) <= now || (waiting > have && s.keeps(home))) {
 			return home, waiting + ahead - have
 		}
 	}
@@ -283,9 +296,9 @@
 			return d.home, s.expiring(now, d.home)
 		}
 	}
-	keep := 2*s.ahead(now) + 1
-	if now-s.spentAt >= Window {
-		keep = 0
+	keep := 0
+	if ahead := s.ahead(now); ahead > 0 || now-s.spentAt < Window {
+		keep = 2*ahead + 1
 	}
 	surplus := s.Tokens(now) - keep
 	for _, l := range s.lots {
@@ -348,7 +361,7 @@
 		s = s.withDebt(debt{home: home, tokens: s.Hold(now, home), sent: a.sent})
 	}
 	if row.Tokens < a.want {
-		s = s.withEmpty(home, now+max(row.After, time.Millisecond))
+		s = s.withEmpty(pauseAt{home: home, until: now + max(row.After, time.Millisecond), keeps: row.After == 0 && row.Tokens > 0})
 	}
 	return s
 }
@@ -360,7 +373,7 @@
 		return s
 	}
 	s.asks = slices.Delete(slices.Clone(s.asks), i, i+1)
-	return s.withEmpty(home, now+silence)
+	return s.withEmpty(pauseAt{home: home, until: now + silence})
 }
 
 func (s Stock) withDebt(d debt) Stock {
@@ -371,9 +384,9 @@
 	return s
 }
 
-func (s Stock) withEmpty(home string, until time.Duration) Stock {
-	s.empty = slices.DeleteFunc(slices.Clone(s.empty), func(p pauseAt) bool { return p.home == home })
-	s.empty = append(s.empty, pauseAt{home: home, until: until})
+func (s Stock) withEmpty(n pauseAt) Stock {
+	s.empty = slices.DeleteFunc(slices.Clone(s.empty), func(p pauseAt) bool { return p.home == n.home })
+	s.empty = append(s.empty, n)
 	return s
 }
 
