--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -29,7 +29,10 @@
 	// maxMessage bounds a control message; a part has at most 512 KB.
 	maxMessage = 1 << 20
 	// controlIdle closes a control connection that carries no messages.
-	controlIdle    = time.Minute
+	controlIdle = time.Minute
+	// controlWindow is a fixed receive window: gRPC otherwise sends a ping with each message to adapt it to the
+	// path. 64 KB carry a part of 512 KB in 8 round trips.
+	controlWindow  = 64 << 10
 	maxBackoff     = time.Second
 	connectTimeout = 500 * time.Millisecond
 )
@@ -41,6 +44,9 @@
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithStaticStreamWindowSize(controlWindow),
+		grpc.WithStaticConnWindowSize(controlWindow),
 	}
 }
 
@@ -49,6 +55,8 @@
 	s := grpc.NewServer(
 		grpc.Creds(credentials.NewTLS(n.identity.ServerConfig("h2"))),
 		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.StaticStreamWindowSize(controlWindow),
+		grpc.StaticConnWindowSize(controlWindow),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * controlIdle}),
 	)
 	pb.RegisterInstancesServer(s, &rpc.Server{Own: n.members.Own, Receive: n.members.Receive, Now: n.clock.Now})
@@ -100,9 +108,25 @@
 	return config.New(s), nil
 }
 
+// faults tell for each control activity what its failure means and what to do.
+var faults = map[string]journal.Message{
+	"reading the manifest":      "configuration service gave no manifest: check --config and the service",
+	"reading the instance list": "instance list could not be read: check --list and its service",
+	"heartbeat":                 "two manifests have one version: publish the right one under a higher number",
+	"offer":                     "two manifests have one version: publish the right one under a higher number",
+	"fetching a manifest":       "manifest of another node could not be fetched: check the connections between nodes",
+	"fetching a version":        "version could not be fetched: publish all its parts, and check the connections between nodes",
+	"building a version":        "version was rejected: check the declarations with verbctl check",
+	"offering a version":        "version could not be offered: check the connections between nodes",
+}
+
 // failed logs the failure of a control activity.
 func (n *Node) failed(what string, err error) {
-	n.journal.Warn("control activity failed", journal.Part(what), journal.Cause(err))
+	message, ok := faults[what]
+	if !ok {
+		message = "control activity failed"
+	}
+	n.journal.Lasting(message, journal.Cause(err))
 }
 
 // onTree passes a new tree to the other slices; it runs on the control goroutine.
