Learn from cancelled requests how slow a target is at least

Cause: with hedges the slow requests at a slow target end as cancelled, from which its gate learnt nothing; its limit and reported service time stayed those of a fast target, so that senders kept choosing it. Ruled out: overdue requests alone, since a hedge cancels most requests before they count as slow. Change: a cancelled request that took longer than the recent mean enters that mean, and counts as slow beyond the bound of slow responses.

--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -34,6 +34,7 @@
 	Open       bool
 	Deadline   time.Duration
 	Slots      int
+	Hedge      float64 // share of calls
 }
 
 // Account is a client account; its key exists only in the measuring program.
@@ -66,7 +67,7 @@
 			{Name: "exports", Targets: 3, Slots: 12, Time: 8 * time.Millisecond},
 		},
 		routes: []Route{
-			{Name: "history", Path: "/history", Service: "history", Idempotent: true, Slots: 12},
+			{Name: "history", Path: "/history", Service: "history", Idempotent: true, Slots: 12, Hedge: 0.05},
 			{Name: "checkins", Path: "/checkins", Service: "checkins", Slots: 12},
 			{Name: "settings", Path: "/settings", Service: "checkins", Idempotent: true, Slots: 12},
 			{Name: "exports", Path: "/exports", Service: "exports", Idempotent: true, Slots: 12, Deadline: 30 * time.Second},
@@ -191,6 +192,9 @@
 		if r.Idempotent {
 			b.WriteString(", idempotent: true")
 		}
+		if r.Hedge > 0 {
+			fmt.Fprintf(&b, ", hedge: %g%%", 100*r.Hedge)
+		}
 		if r.Open {
 			b.WriteString(", open: true")
 		}
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -192,12 +192,20 @@
 		n.policy.Choose, n.candidates, n.domainsOut, n.gate.Do, n.remote,
 	)
 	n.callers = caller.NewServer(n.clock.Now, n.store.Current, n.spend,
-		caller.Tries{Try: n.dispatcher.Try, Retry: n.dispatcher.Retry}, n.events())
+		caller.Tries{Try: n.try, Retry: n.dispatcher.Retry}, n.events())
 	n.operators = operator.New(n.listeners.admin, operator.Seams{
 		Health: n.health, Ready: n.ready, State: n.state, Explain: n.explain, Metrics: n.metrics.Handler(),
 	})
 }
 
+// try sends an attempt, without hedges where the policy says so.
+func (n *Node) try(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error) {
+	if n.policy.Single {
+		again = nil
+	}
+	return n.dispatcher.Try(call, route, tried, again)
+}
+
 func (n *Node) remote(name string, call target.Call) (target.Reply, error) {
 	return n.client.Do(name, call)
 }
--- a/node/daemon/policy.go
+++ b/node/daemon/policy.go
@@ -11,6 +11,7 @@
 type Policy struct {
 	Choose peer.Selector
 	Arrive func(g target.Gate, now time.Time, t target.Ticket) (target.Gate, target.Verdict)
+	Single bool // no hedges
 	Split  bool // fixed split of rates over the listed instances instead of lent shares
 }
 
@@ -21,10 +22,12 @@
 	switch getenv("VERBENAPIN_POLICY") {
 	case "robin":
 		p.Choose, p.Arrive = peer.RoundRobin, target.AdmitAll
+		p.Single = true
 	case "least":
 		p.Choose, p.Arrive = peer.LeastReported, target.AdmitAll
+		p.Single = true
 	case "open":
-		p.Arrive = target.AdmitAll
+		p.Arrive, p.Single = target.AdmitAll, true
 	}
 	p.Split = getenv("VERBENAPIN_RATES") == "split"
 	return p
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -40,7 +40,7 @@
 	Shed           // the target answered that it is overloaded (429, 503)
 	Lost           // the connection broke
 	Refused        // the target refused the connection, so the request did not run
-	Cancelled      // the caller gave up, which says nothing about the target
+	Cancelled      // the caller gave up; the service time is at least the latency
 )
 
 // Outcome is the end of a started request; Latency is the target's service time.
@@ -236,6 +236,8 @@
 		g.limit = g.limit.WithShed(now)
 	case Refused:
 		g.limit = g.limit.WithRefused(now)
+	case Cancelled:
+		g.limit = g.limit.WithCancelled(now, r.started, o.Latency)
 	}
 	return g.advance(now)
 }
--- a/node/target/limit.go
+++ b/node/target/limit.go
@@ -223,6 +223,19 @@
 	return l
 }
 
+// WithCancelled returns the limit after a request was cancelled, whose service time is at least the given time.
+// Without it the slowness of a target is hidden by hedges, which cancel its slow requests.
+func (l Limit) WithCancelled(now, started time.Time, latency time.Duration) Limit {
+	if l.seen == 0 || latency <= l.recent {
+		return l
+	}
+	l.recent += (latency - l.recent) / time.Duration(min(l.seen, shortWeight))
+	if l.Slow() > 0 && latency > l.Slow() && !started.Before(l.cut) && started.After(l.usual) {
+		return l.WithSlow(now, 0)
+	}
+	return l
+}
+
 // WithFailed returns the limit after a failed response.
 func (l Limit) WithFailed(now time.Time, latency time.Duration) Limit {
 	l.heard = now
--- a/node/target/limit_test.go
+++ b/node/target/limit_test.go
@@ -142,3 +142,36 @@
 		}
 	})
 }
+
+// TestLimitCancelled guards against a slow target whose limit stays because hedges cancel its slow requests, and
+// against one that is cut because callers leave early.
+func TestLimitCancelled(t *testing.T) {
+	warm := NewLimit(12)
+	now := time.Unix(1000, 0)
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		warm = warm.WithGood(now, now.Add(-10*time.Millisecond), 10*time.Millisecond, true)
+	}
+	require.Equal(t, 12, warm.Value())
+	for name, c := range map[string]struct {
+		latency time.Duration
+		n       int
+		want    int
+		slower  bool
+	}{
+		"short":                       {latency: 5 * time.Millisecond, n: 20, want: 12},
+		"two long":                    {latency: 50 * time.Millisecond, n: 2, want: 12, slower: true},
+		"long":                        {latency: 50 * time.Millisecond, n: slowCold, want: 1, slower: true},
+		"longer than usual, not slow": {latency: 20 * time.Millisecond, n: 20, want: 12, slower: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, now := warm, now
+			for range c.n {
+				now = now.Add(c.latency)
+				l = l.WithCancelled(now, now.Add(-c.latency+time.Millisecond), c.latency)
+			}
+			require.Equal(t, c.want, l.Value())
+			require.Equal(t, c.slower, l.Service() > warm.Service())
+		})
+	}
+}
