Let the limit of a restarted target grow by one a second

Ruled out: requests on kept connections and before the probe; none of them was beyond the capacity. Change: after a refused connection the limit grows by at most one a second, counted from the first response, until it reaches the slots. A target that sheds meanwhile counts as restarted again, and the pace halves, to one in 8 s at the slowest. Other reductions keep their fast growth. A target whose capacity grows by less than one a second is still overloaded once before the pace halves.

--- a/node/target/limit.go
+++ b/node/target/limit.go
@@ -21,6 +21,10 @@
 	// After a reduction the limit stays below the value that was too high for this time, so that finding the
 	// capacity of a target costs it at most one request too many a second.
 	holdFor = time.Second
+	// A target that restarted gets one more request at most in this time, because nothing shows that a cold target is
+	// near its capacity before it is beyond. 12 slots are reached after 11 s; the pace halves when that was too fast.
+	coldPace = time.Second
+	slowPace = 8 * time.Second
 	// Assumed until the first response.
 	firstService = 10 * time.Millisecond
 )
@@ -32,6 +36,9 @@
 	credit  int // responses at full use since the last change, the good ones less those beyond nearFactor
 	ceiling int // largest value until the hold ends, zero for none
 	hold    time.Time
+	paced   bool          // the target restarted and has not reached its slots since
+	pace    time.Duration // shortest time between two steps after a restart, zero for coldPace
+	stepped time.Time     // last change after a restart, zero until the first response
 	slow    int           // slow responses in a row
 	held    time.Duration // sum of the slow responses in a row that are not in the baseline yet
 	holding int           // number of these
@@ -82,6 +89,17 @@
 	return l.withValue(1)
 }
 
+// WithRestart returns the limit of a target that was seen to start anew, which grows slowly from there.
+func (l Limit) WithRestart(now time.Time) Limit {
+	l.paced, l.stepped = true, time.Time{}
+	return l.WithCold(now)
+}
+
+// early tells whether a restarted target may not get more requests at once yet.
+func (l Limit) early(now time.Time) bool {
+	return l.paced && now.Sub(l.stepped) < max(l.pace, coldPace)
+}
+
 // WithHalf returns half of the limit.
 func (l Limit) WithHalf(now time.Time) Limit {
 	l.cut = now
@@ -162,14 +180,19 @@
 	if median := l.median(); float64(median) > nearFactor*float64(l.middle) {
 		return l.withDebit(now)
 	}
-	if l.value >= l.slots || (l.ceiling > 0 && l.value >= l.ceiling && now.Before(l.hold)) {
+	if l.paced && l.stepped.IsZero() {
+		l.stepped = now
+	}
+	if l.value >= l.slots || l.early(now) || (l.ceiling > 0 && l.value >= l.ceiling && now.Before(l.hold)) {
 		l.credit = min(l.credit+1, 0)
 		return l
 	}
 	l.credit++
-	if l.credit >= l.value {
-		return l.withValue(l.value + 1)
+	if l.credit < l.value {
+		return l
 	}
+	l = l.withValue(l.value + 1)
+	l.stepped, l.paced = now, l.paced && l.value < l.slots
 	return l
 }
 
@@ -250,6 +273,13 @@
 func (l Limit) WithShed(now time.Time) Limit {
 	l.heard = now
 	l.failing += (1 - l.failing) / failWeight
+	if l.paced {
+		// A cold target that gets too much may start again from the beginning.
+		if l.value > 1 {
+			l.pace = min(2*max(l.pace, coldPace), slowPace)
+		}
+		return l.WithRestart(now)
+	}
 	return l.withCut(now)
 }
 
@@ -257,5 +287,5 @@
 func (l Limit) WithRefused(now time.Time) Limit {
 	l.heard = now
 	l.failing += (1 - l.failing) / failWeight
-	return l.WithCold(now)
+	return l.WithRestart(now)
 }
--- a/node/target/limit_test.go
+++ b/node/target/limit_test.go
@@ -175,3 +175,32 @@
 		})
 	}
 }
+
+// TestLimitPace guards against a limit that outgrows a target that restarted, whose capacity grows as slowly as one
+// request in 417 ms and which shows nothing before it is overloaded; and against one that never grows again.
+func TestLimitPace(t *testing.T) {
+	now := start
+	l := drive(NewLimit(12), step{n: 200, latency: ms(6)})
+	require.Equal(t, 12, l.Value())
+	l = l.WithRefused(now)
+	serve := func(lasts time.Duration, most func(since time.Duration) int) {
+		since := now
+		for now.Sub(since) < lasts {
+			began := now
+			now = now.Add(ms(6))
+			l = l.WithGood(now, began, ms(6), true)
+			require.LessOrEqual(t, l.Value(), most(now.Sub(since)))
+		}
+	}
+	now = now.Add(10 * time.Second) // the time without target does not count
+	serve(12*time.Second, func(since time.Duration) int { return max(1, int(since/(417*time.Millisecond))) })
+	require.Equal(t, 12, l.Value())
+	l = l.WithShed(now)
+	require.Equal(t, 6, l.Value(), "a warm target counts as restarted")
+	l = l.WithRefused(now)
+	serve(1500*time.Millisecond, func(time.Duration) int { return 2 })
+	l = l.WithShed(now)
+	require.Equal(t, 1, l.Value())
+	serve(24*time.Second, func(since time.Duration) int { return 1 + int(since/(2*time.Second)) })
+	require.Equal(t, 12, l.Value(), "the pace is too slow")
+}
