--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -113,6 +113,11 @@
 	return fmt.Sprintf("%s%s-%d", upstream.KeyMark, account, n)
 }
 
+// NewAccount returns an account with one key.
+func NewAccount(name string, rate, burst float64, routes ...string) Account {
+	return newAccount(name, rate, burst, routes)
+}
+
 func newAccount(name string, rate, burst float64, routes []string) Account {
 	return Account{Name: name, Keys: []string{NewKey(name, 1)}, Rate: rate, Burst: burst, Routes: routes}
 }
@@ -158,6 +163,12 @@
 	return d
 }
 
+// WithHomes returns d with other homes.
+func (d Deployment) WithHomes(names ...string) Deployment {
+	d.homes = names
+	return d
+}
+
 // WithTargets returns d with only some services, and n targets of each.
 func (d Deployment) WithTargets(n int, services ...string) Deployment {
 	var list []Service
@@ -182,6 +193,35 @@
 	return d
 }
 
+// WithNodes returns d with n targets in all, spread evenly over its services.
+func (d Deployment) WithNodes(n int) Deployment {
+	d.services = slices.Clone(d.services)
+	for i := range d.services {
+		d.services[i].Targets = (n + i) / len(d.services)
+	}
+	return d
+}
+
+// WithFirstHomes returns d with the first n instances as homes, spread evenly over the failure domains.
+func (d Deployment) WithFirstHomes(n int) Deployment {
+	d.homes = nil
+	for i := range n {
+		d.homes = append(d.homes, fmt.Sprintf("%s%d", Domains[i%len(Domains)], i/len(Domains)+1))
+	}
+	return d
+}
+
+// WithMoreAccounts returns d with n further accounts that may use the same routes as the named one.
+func (d Deployment) WithMoreAccounts(n int, like string) Deployment {
+	routes := d.accounts[like].Routes
+	d.accounts = maps.Clone(d.accounts)
+	for i := range n {
+		a := newAccount(fmt.Sprintf("account%d", i), 100, 100, routes)
+		d.accounts[a.Name] = a
+	}
+	return d
+}
+
 // YAML returns the configuration tree.
 func (d Deployment) YAML() []byte {
 	var b strings.Builder
--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -23,6 +24,7 @@
 	deadline := deadlineOf(*q)
 	state := q.Header.Get("Tracestate")
 	var tried []string
+	var failures []answer.Refusal
 	settled := false
 	for {
 		if !settled {
@@ -34,30 +36,26 @@
 		if len(tried) > 0 {
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
-		var again func() *http.Request
-		if len(tried) == 0 && MayHedge(q.route.Idempotent, body.stream == nil, IsRetried(state)) {
-			again = func() *http.Request {
-				out := body.next(q.Request)
-				out.Header.Set("Tracestate", MarkRetried(state))
-				return out
-			}
-		}
-		names, reply, err := s.tries.Try(call, q.route, tried, again)
-		var refused answer.Refusal
-		if (!errors.As(err, &refused) || refused.Run != answer.RunNo) && !settled {
+		names, reply, err := s.tries.Try(call, q.route, tried, s.again(q, body, state, tried))
+		q.result = q.result.withAttempt(names, reply.Stages)
+		failure := failureOf(reply, err)
+		if failure.Run != answer.RunNo && !settled {
 			q.pass.Settle()
 			settled = true
 		}
 		if err == nil && (reply.Response.StatusCode != http.StatusServiceUnavailable || !q.route.Idempotent) {
 			return reply, nil
 		}
-		failed := Attempt{Run: answer.RunMaybe, Idempotent: q.route.Idempotent, Retrying: IsRetried(state)}
-		if refused.Code != "" {
-			failed.Run, failed.Code = refused.Run, refused.Code
-		}
 		tried = append(tried, names...)
-		failed.Number, failed.Replayable, failed.Remaining = len(tried), body.replayable(), deadline.Sub(s.now())
+		failures = append(failures, failure)
+		failed := Attempt{
+			Run: failure.Run, Code: failure.Code, Number: len(tried), Idempotent: q.route.Idempotent, Retrying: IsRetried(state),
+			Replayable: body.replayable(), Remaining: deadline.Sub(s.now()),
+		}
 		if len(names) == 0 || !s.mayRetry(*q, failed) {
+			if err != nil {
+				err = Final(failures, len(names) > 0)
+			}
 			return reply, err
 		}
 		if reply.Response != nil {
@@ -66,6 +64,30 @@
 	}
 }
 
+// again returns the function that makes the request for a second attempt beside the first one, nil if there must be none.
+func (s *Server) again(q *request, body replay, state string, tried []string) func() *http.Request {
+	if len(tried) > 0 || !MayHedge(q.route.Idempotent, body.stream == nil, IsRetried(state)) {
+		return nil
+	}
+	return func() *http.Request {
+		out := body.next(q.Request)
+		out.Header.Set("Tracestate", MarkRetried(state))
+		return out
+	}
+}
+
+// failureOf describes an attempt as a failure, which it is if it is to be repeated.
+func failureOf(reply target.Reply, err error) answer.Refusal {
+	var refused answer.Refusal
+	if errors.As(err, &refused) {
+		return refused
+	}
+	if err != nil {
+		return answer.MaybeRun(answer.Lost, err.Error())
+	}
+	return answer.MaybeRun(answer.Busy, fmt.Sprintf("the target answered with status %d", reply.Response.StatusCode))
+}
+
 // confirm makes sure that the account pays for a request that is forwarded now. After a long wait, for example for
 // a connection to a node that is paused, the request pays anew.
 func (s *Server) confirm(q *request) error {
@@ -74,7 +96,9 @@
 	}
 	q.pass.Refund()
 	q.pass = free()
+	begun := s.now()
 	pass, err := s.spend(q.Context(), q.account)
+	q.result.Wait += s.now().Sub(begun)
 	if err != nil {
 		return err
 	}
@@ -88,9 +112,7 @@
 	if !allowed || q.Context().Err() != nil || (paid && !s.tries.Retry(q.route)) {
 		return false
 	}
-	if s.events.Retried != nil {
-		s.events.Retried(q.route.Name)
-	}
+	s.events.Retried(q.route.Name)
 	return true
 }
 
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -29,7 +29,10 @@
 	// maxMessage bounds a control message; a part has at most 512 KB.
 	maxMessage = 1 << 20
 	// controlIdle closes a control connection that carries no messages.
-	controlIdle    = time.Minute
+	controlIdle = time.Minute
+	// controlWindow is a fixed receive window: gRPC otherwise sends a ping with each message to adapt it to the
+	// path. 64 KB carry a part of 512 KB in 8 round trips.
+	controlWindow  = 64 << 10
 	maxBackoff     = time.Second
 	connectTimeout = 500 * time.Millisecond
 )
@@ -41,6 +44,9 @@
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithStaticStreamWindowSize(controlWindow),
+		grpc.WithStaticConnWindowSize(controlWindow),
 	}
 }
 
@@ -49,6 +55,8 @@
 	s := grpc.NewServer(
 		grpc.Creds(credentials.NewTLS(n.identity.ServerConfig("h2"))),
 		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.StaticStreamWindowSize(controlWindow),
+		grpc.StaticConnWindowSize(controlWindow),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * controlIdle}),
 	)
 	pb.RegisterInstancesServer(s, &rpc.Server{Own: n.members.Own, Receive: n.members.Receive, Now: n.clock.Now})
@@ -100,15 +108,31 @@
 	return config.New(s), nil
 }
 
+// faults tell for each control activity what its failure means and what to do.
+var faults = map[string]journal.Message{
+	"reading the manifest":      "configuration service gave no manifest: check --config and the service",
+	"reading the instance list": "instance list could not be read: check --list and its service",
+	"heartbeat":                 "two manifests have one version: publish the right one under a higher number",
+	"offer":                     "two manifests have one version: publish the right one under a higher number",
+	"fetching a manifest":       "manifest of another node could not be fetched: check the connections between nodes",
+	"fetching a version":        "version could not be fetched: publish all its parts, and check the connections between nodes",
+	"building a version":        "version was rejected: check the declarations with verbctl check",
+	"offering a version":        "version could not be offered: check the connections between nodes",
+}
+
 // failed logs the failure of a control activity.
 func (n *Node) failed(what string, err error) {
-	n.journal.Warn("control activity failed", journal.Part(what), journal.Cause(err))
+	message, ok := faults[what]
+	if !ok {
+		message = "control activity failed"
+	}
+	n.journal.Lasting(message, journal.Cause(err))
 }
 
 // onTree passes a new tree to the other slices; it runs on the control goroutine.
 func (n *Node) onTree(now time.Time, t config.Tree) {
 	n.limiter.OnTree(now, t)
-	n.limiter.OnKnown(now, n.known(now))
+	n.limiter.OnKnown(now, n.store.Snapshot().Known(now))
 	n.admission.SetSlots(now, n.slots(t))
 	n.admission.SetOut(now, t.IsOut(n.settings.Domain))
 	n.journal.Info("configuration in force", journal.Version(t.Version()))
@@ -129,16 +153,7 @@
 // onBeat takes what another node's heartbeat says of versions; it runs on the control goroutine.
 func (n *Node) onBeat(at time.Time, b instance.Beat) {
 	n.store.Beat(at, b)
-	n.limiter.OnKnown(at, n.known(at))
-}
-
-// known returns the version known of each home; zero stands for a home that was never heard.
-func (n *Node) known(now time.Time) map[string]int64 {
-	known := map[string]int64{}
-	for _, h := range n.store.Snapshot().Homes(now) {
-		known[h.Name] = h.Version
-	}
-	return known
+	n.limiter.OnKnown(at, n.store.Snapshot().Known(at))
 }
 
 // onView follows what the platform says of this node's own target; it runs on the control goroutine.
--- a/node/daemon/fleet_test.go
+++ b/node/daemon/fleet_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -63,7 +64,7 @@
 	}
 }
 
-func (p *platform) publish(t *testing.T, version int64, tree string) {
+func (p *platform) publish(t testing.TB, version int64, tree string) {
 	t.Helper()
 	m, parts, err := config.Pack(version, []config.File{{Name: "tree.yaml", Data: []byte(tree)}})
 	require.NoError(t, err)
@@ -75,10 +76,25 @@
 	p.values["manifest"] = m.Bytes()
 }
 
+// publishRejected publishes a version that no node accepts, as Pack would refuse to make it.
+func (p *platform) publishRejected(t *testing.T, version int64) {
+	t.Helper()
+	m, parts, err := config.Pack(version, []config.File{{Name: "tree.yaml", Data: []byte("routes: {}\n")}})
+	require.NoError(t, err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for d, data := range parts {
+		data = bytes.Replace(data, []byte("routes"), []byte("routed"), 1)
+		p.values["part-"+config.DigestOf(string(data)).String()] = data
+		p.values["manifest"] = bytes.Replace(m.Bytes(), []byte(d.String()), []byte(config.DigestOf(string(data)).String()), 1)
+	}
+}
+
 // place is one instance of a test fleet.
 type place struct {
 	name, domain, service string
 	target                http.HandlerFunc
+	flags                 []string
 }
 
 // running is a node under test with its target.
@@ -97,7 +113,7 @@
 }
 
 // startFleet runs a node beside each target until the test ends, and waits until all serve openTree.
-func startFleet(t *testing.T, places ...place) *testFleet {
+func startFleet(t testing.TB, places ...place) *testFleet {
 	t.Helper()
 	f := &testFleet{platform: &platform{values: map[string][]byte{}}, nodes: map[string]*running{}}
 	server := httptest.NewServer(f.platform)
@@ -133,7 +149,7 @@
 	return r.store.Verdict().Code == config.Serve && len(r.members.Snapshot().Instances(time.Now(), instance.Present)) == places
 }
 
-func (r *running) context(t *testing.T) context.Context {
+func (r *running) context(t testing.TB) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	t.Cleanup(func() {
@@ -143,7 +159,7 @@
 	return ctx
 }
 
-func startNode(t *testing.T, dir, platformURL string, p place) *running {
+func startNode(t testing.TB, dir, platformURL string, p place) *running {
 	t.Helper()
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != probePath {
@@ -151,12 +167,12 @@
 		}
 	}))
 	t.Cleanup(target.Close)
-	s, err := ParseSettings([]string{
+	s, err := ParseSettings(append([]string{
 		"--name", p.name, "--domain", p.domain, "--service", p.service, "--target", target.URL,
 		"--caller", "127.0.0.1:0", "--peer", "127.0.0.1:0", "--control", "127.0.0.1:0", "--admin", "127.0.0.1:0",
 		"--config", platformURL, "--list", platformURL, "--log", "error", "--grace", "10s",
 		"--cert", filepath.Join(dir, "cert.pem"), "--key", filepath.Join(dir, "key.pem"), "--ca", filepath.Join(dir, "cert.pem"),
-	})
+	}, p.flags...))
 	require.NoError(t, err)
 	n, err := New(s, PolicyFromEnv(func(string) string { return "" }), io.Discard)
 	require.NoError(t, err)
@@ -164,7 +180,7 @@
 }
 
 // writeCertificates writes one self-signed certificate that holds all names.
-func writeCertificates(t *testing.T, dir string, names []string) {
+func writeCertificates(t testing.TB, dir string, names []string) {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
@@ -186,7 +202,7 @@
 }
 
 // newCaller returns a client that neither follows redirects nor keeps connections after the test.
-func newCaller(t *testing.T) *http.Client {
+func newCaller(t testing.TB) *http.Client {
 	t.Helper()
 	tr := &http.Transport{DisableCompression: true}
 	t.Cleanup(tr.CloseIdleConnections)
