--- a/node/daemon/trace.go
+++ b/node/daemon/trace.go
@@ -44,8 +44,11 @@
 	span.End()
 }
 
-// try sends an attempt and measures the choice of its target.
+// try sends an attempt and measures the choice of its target; the naive policies send no second one beside it.
 func (n *Node) try(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error) {
+	if n.policy.Single {
+		again = nil
+	}
 	names, reply, err := n.dispatcher.Try(call, route, tried, again)
 	n.metrics.Waited(operator.StageChoice, reply.Stages.Choice)
 	return names, reply, err
--- a/node/target/limit_test.go
+++ b/node/target/limit_test.go
@@ -142,3 +142,65 @@
 		}
 	})
 }
+
+// TestLimitCancelled guards against a slow target whose limit stays because hedges cancel its slow requests, and
+// against one that is cut because callers leave early.
+func TestLimitCancelled(t *testing.T) {
+	warm := NewLimit(12)
+	now := time.Unix(1000, 0)
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		warm = warm.WithGood(now, now.Add(-10*time.Millisecond), 10*time.Millisecond, true)
+	}
+	require.Equal(t, 12, warm.Value())
+	for name, c := range map[string]struct {
+		latency time.Duration
+		n       int
+		want    int
+		slower  bool
+	}{
+		"short":                       {latency: 5 * time.Millisecond, n: 20, want: 12},
+		"two long":                    {latency: 50 * time.Millisecond, n: 2, want: 12, slower: true},
+		"long":                        {latency: 50 * time.Millisecond, n: slowCold, want: 1, slower: true},
+		"longer than usual, not slow": {latency: 20 * time.Millisecond, n: 20, want: 12, slower: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, now := warm, now
+			for range c.n {
+				now = now.Add(c.latency)
+				l = l.WithCancelled(now, now.Add(-c.latency+time.Millisecond), c.latency)
+			}
+			require.Equal(t, c.want, l.Value())
+			require.Equal(t, c.slower, l.Service() > warm.Service())
+		})
+	}
+}
+
+// TestLimitPace guards against a limit that outgrows a target that restarted, whose capacity grows as slowly as one
+// request in 417 ms and which shows nothing before it is overloaded; and against one that never grows again.
+func TestLimitPace(t *testing.T) {
+	now := start
+	l := drive(NewLimit(12), step{n: 200, latency: ms(6)})
+	require.Equal(t, 12, l.Value())
+	l = l.WithRefused(now)
+	serve := func(lasts time.Duration, most func(since time.Duration) int) {
+		since := now
+		for now.Sub(since) < lasts {
+			began := now
+			now = now.Add(ms(6))
+			l = l.WithGood(now, began, ms(6), true)
+			require.LessOrEqual(t, l.Value(), most(now.Sub(since)))
+		}
+	}
+	now = now.Add(10 * time.Second) // the time without target does not count
+	serve(12*time.Second, func(since time.Duration) int { return max(1, int(since/(417*time.Millisecond))) })
+	require.Equal(t, 12, l.Value())
+	l = l.WithShed(now)
+	require.Equal(t, 6, l.Value(), "a warm target counts as restarted")
+	l = l.WithRefused(now)
+	serve(1500*time.Millisecond, func(time.Duration) int { return 2 })
+	l = l.WithShed(now)
+	require.Equal(t, 1, l.Value())
+	serve(24*time.Second, func(since time.Duration) int { return 1 + int(since/(2*time.Second)) })
+	require.Equal(t, 12, l.Value(), "the pace is too slow")
+}
