Use small buffers for control connections

Cause: gRPC takes 32 KB for reading and 32 KB for writing on each connection, and a home has one connection of each borrower.

Change: buffers of 2 KB, the one for writing only while it is in use.

--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -29,10 +29,13 @@
 	// maxMessage bounds a control message; a part has at most 512 KB.
 	maxMessage = 1 << 20
 	// controlIdle closes a control connection that carries no messages.
-	controlIdle    = time.Minute
+	controlIdle = time.Minute
 	// controlWindow is a fixed receive window: gRPC otherwise sends a ping with each message to adapt it to the
 	// path. 64 KB carry a part of 512 KB in 8 round trips.
-	controlWindow  = 64 << 10
+	controlWindow = 64 << 10
+	// controlBuffer holds a heartbeat or a Take; the default of 32 KB in each direction is memory that 1,200 borrowers
+	// of a home would take 1,200 times.
+	controlBuffer  = 2 << 10
 	maxBackoff     = time.Second
 	connectTimeout = 500 * time.Millisecond
 )
@@ -46,6 +49,9 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithStaticStreamWindowSize(controlWindow),
 		grpc.WithStaticConnWindowSize(controlWindow),
+		grpc.WithReadBufferSize(controlBuffer),
+		grpc.WithWriteBufferSize(controlBuffer),
+		grpc.WithSharedWriteBuffer(true),
 	}
 }
 
@@ -56,6 +62,9 @@
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.StaticStreamWindowSize(controlWindow),
 		grpc.StaticConnWindowSize(controlWindow),
+		grpc.ReadBufferSize(controlBuffer),
+		grpc.WriteBufferSize(controlBuffer),
+		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * controlIdle}),
 	)
 	pb.RegisterInstancesServer(s, &rpc.Server{Own: n.members.Own, Receive: n.members.Receive, Now: n.clock.Now})
