Keep no syntax tree beyond its file while parsing

Cause: each setting kept a node of the syntax tree, whose token is linked to all tokens of its file, so all files stayed in memory until the tree was resolved.

Change: settings keep the text of plain values and the items of lists.

--- a/node/config/format.go
+++ b/node/config/format.go
@@ -79,10 +79,46 @@
 	return o, ok
 }
 
-// setting is one value as written, before inheritance.
+// setting is one value as written, before inheritance. It keeps no node of the syntax tree: one node holds the tokens
+// of its whole file, which take 20 times the memory of the text.
 type setting struct {
-	node ast.Node
-	from Origin
+	shape shape
+	text  string // of a scalar
+	items []item // of a list
+	from  Origin
+}
+
+type shape int
+
+const (
+	absent shape = iota
+	plainValue
+	listValue
+	otherValue // neither a plain value nor a list
+)
+
+// item is one value of a list; it is bad if it is no plain value.
+type item struct {
+	text string
+	line int
+	bad  bool
+}
+
+// newSetting reads a value out of the syntax tree.
+func newSetting(n ast.Node, from Origin) setting {
+	if text, ok := scalar(n); ok {
+		return setting{shape: plainValue, text: strings.Clone(text), from: from}
+	}
+	seq, ok := n.(*ast.SequenceNode)
+	if !ok {
+		return setting{shape: otherValue, from: from}
+	}
+	s := setting{shape: listValue, from: from, items: make([]item, 0, len(seq.Values))}
+	for _, n := range seq.Values {
+		text, ok := scalar(n)
+		s.items = append(s.items, item{text: strings.Clone(text), line: lineOf(n), bad: !ok})
+	}
+	return s
 }
 
 // entry is one route or account as written.
@@ -161,7 +197,7 @@
 		switch name {
 		case "fleet":
 			r.mapping(f.Name, name, value, func(field string, at Origin, value ast.Node) {
-				r.put(r.fleet, field, setting{node: value, from: at})
+				r.put(r.fleet, field, newSetting(value, at))
 			})
 		case string(Routes), string(Accounts):
 			r.section(f.Name, Kind(name), value)
@@ -254,14 +290,14 @@
 		r.mapping(file, name, value, func(field string, at Origin, value ast.Node) {
 			at.Name = name
 			if field != "parent" {
-				r.put(e.fields, field, setting{node: value, from: at})
+				r.put(e.fields, field, newSetting(value, at))
 				return
 			}
-			if e.parent.node != nil {
+			if e.parent.shape != absent {
 				r.failAt(at, "duplicate name %q", field)
 				return
 			}
-			e.parent = setting{node: value, from: at}
+			e.parent = newSetting(value, at)
 		})
 		r.sections[kind][name] = e
 	})
@@ -294,7 +330,7 @@
 			r.failAt(at, "a plain name is required")
 			continue
 		}
-		each(key.Value, at, v.Value)
+		each(strings.Clone(key.Value), at, v.Value)
 	}
 }
 
--- a/node/config/resolve.go
+++ b/node/config/resolve.go
@@ -94,10 +94,10 @@
 // isParent tells whether another entry inherits from the named one.
 func (r *reading) isParent(kind Kind, name string) bool {
 	for _, e := range r.sections[kind] {
-		if e.parent.node == nil {
+		if e.parent.shape == absent {
 			continue
 		}
-		if parent, ok := scalar(e.parent.node); ok && parent == name {
+		if e.parent.shape == plainValue && e.parent.text == name {
 			return true
 		}
 	}
@@ -163,7 +163,7 @@
 				all[n] = s
 			}
 		}
-		if e.parent.node == nil {
+		if e.parent.shape == absent {
 			return all
 		}
 		at := e.parent.from
@@ -248,29 +248,27 @@
 }
 
 func (r *reading) list(s setting) []string {
-	seq, ok := s.node.(*ast.SequenceNode)
-	if !ok {
+	if s.shape != listValue {
 		r.failAt(s.from, "a list is required")
 		return nil
 	}
 	var out []string
-	for _, n := range seq.Values {
-		v, ok := scalar(n)
-		if !ok {
-			r.fail(s.from.File, lineOf(n), "a plain value is required")
+	for _, i := range s.items {
+		if i.bad {
+			r.fail(s.from.File, i.line, "a plain value is required")
 			continue
 		}
-		out = append(out, v)
+		out = append(out, i.text)
 	}
 	return out
 }
 
 func (r *reading) text(s setting) (string, bool) {
-	v, ok := scalar(s.node)
-	if !ok {
+	if s.shape != plainValue {
 		r.failAt(s.from, "a plain value is required")
+		return "", false
 	}
-	return v, ok
+	return s.text, true
 }
 
 // scalar returns the text of a value as written; anchors, aliases and tags are refused.
