--- a/node/account/decision_test.go
+++ b/node/account/decision_test.go
@@ -288,6 +288,38 @@
 			run(l, ms(9000), ms(9980))
 			return l
 		}},
+		"a retired home is dropped from both lists": {want: 5, ledger: func() *Ledger {
+			all := []string{"a", "b", "c"}
+			l := NewLedger("a", 0)
+			l.SetShares(0, NewShares("a", fleetTree(1, all, nil, limit)))
+			l.SetKnown(0, map[string]int64{"b": 1, "c": 1})
+			run(l, 0, ms(3000))
+			l.SetShares(ms(3000), NewShares("a", fleetTree(2, all, []string{"c"}, limit)))
+			l.SetShares(ms(3000), shares(3, limit))
+			l.SetKnown(ms(3000), known(3))
+			run(l, ms(3000), ms(9980))
+			return l
+		}},
+		"a removed home is not retired": {want: 3, ledger: func() *Ledger {
+			l := NewLedger("a", 0)
+			l.SetShares(0, NewShares("a", fleetTree(1, []string{"a", "b", "c"}, nil, limit)))
+			l.SetKnown(0, map[string]int64{"b": 1, "c": 1})
+			run(l, 0, ms(3000))
+			l.SetShares(ms(3000), shares(2, limit))
+			l.SetKnown(ms(3000), known(2))
+			run(l, ms(3000), ms(9980))
+			return l
+		}},
+		"a removed home holds the new version": {want: 5, ledger: func() *Ledger {
+			l := NewLedger("a", 0)
+			l.SetShares(0, NewShares("a", fleetTree(1, []string{"a", "b", "c"}, nil, limit)))
+			l.SetKnown(0, map[string]int64{"b": 1, "c": 1})
+			run(l, 0, ms(3000))
+			l.SetShares(ms(3000), shares(2, limit))
+			l.SetKnown(ms(3000), map[string]int64{"b": 2, "c": 2})
+			run(l, ms(3000), ms(9980))
+			return l
+		}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -295,3 +327,28 @@
 		})
 	}
 }
+
+// TestSplits guards against a baseline that gives a node more than its part, also after the number of nodes grows.
+func TestSplits(t *testing.T) {
+	limit := Limit{Rate: 10, Burst: 12}
+	cases := map[string]struct {
+		nodes []int
+		gap   time.Duration
+		want  []bool
+	}{
+		"the part of the burst":        {nodes: []int{6, 6, 6}, want: []bool{true, true, false}},
+		"the part of the rate":         {nodes: []int{12, 12, 12}, gap: 600 * time.Millisecond, want: []bool{true, false, true}},
+		"nodes are added":              {nodes: []int{2, 12, 12}, want: []bool{true, true, false}},
+		"a node by itself has it all":  {nodes: []int{0, 0, 0}, want: []bool{true, true, true}},
+		"a part too small for a token": {nodes: []int{24, 24, 24}, gap: time.Second, want: []bool{false, false, false}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			s := NewSplits(start)
+			for i, nodes := range tc.nodes {
+				require.Equal(t, tc.want[i], s.Spend(start.Add(time.Duration(i)*tc.gap), "a", limit, nodes), "request %d", i)
+			}
+		})
+	}
+}
--- a/node/caller/plan.go
+++ b/node/caller/plan.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -39,6 +40,25 @@
 	}
 }
 
+// MayHedge tells whether a second attempt may run beside the first one. retrying tells that a node higher in the call
+// chain is already retrying; held that the whole body can be sent twice at the same time.
+func MayHedge(idempotent, held, retrying bool) bool { return idempotent && held && !retrying }
+
+// Final returns the refusal for the caller from those of all attempts: the last that may have run, since the request
+// is then not "not run"; otherwise the last one, of which one that found no target says less than the one before it.
+func Final(attempts []answer.Refusal, found bool) answer.Refusal {
+	for _, a := range slices.Backward(attempts) {
+		if a.Run != answer.RunNo {
+			return a
+		}
+	}
+	last := len(attempts) - 1
+	if !found && last > 0 {
+		last--
+	}
+	return attempts[last]
+}
+
 const (
 	stateKey  = "verbenapin"
 	stateMark = stateKey + "=r"
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -47,6 +47,7 @@
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
 		grpc.WithStaticStreamWindowSize(controlWindow),
 		grpc.WithStaticConnWindowSize(controlWindow),
 		grpc.WithReadBufferSize(controlBuffer),
@@ -116,15 +117,31 @@
 	return config.New(s), nil
 }
 
+// faults tell for each control activity what its failure means and what to do.
+var faults = map[string]journal.Message{
+	"reading the manifest":      "configuration service gave no manifest: check --config and the service",
+	"reading the instance list": "instance list could not be read: check --list and its service",
+	"heartbeat":                 "two manifests have one version: publish the right one under a higher number",
+	"offer":                     "two manifests have one version: publish the right one under a higher number",
+	"fetching a manifest":       "manifest of another node could not be fetched: check the connections between nodes",
+	"fetching a version":        "version could not be fetched: publish all its parts, and check the connections between nodes",
+	"building a version":        "version was rejected: check the declarations with verbctl check",
+	"offering a version":        "version could not be offered: check the connections between nodes",
+}
+
 // failed logs the failure of a control activity.
 func (n *Node) failed(what string, err error) {
-	n.journal.Warn("control activity failed", journal.Part(what), journal.Cause(err))
+	message, ok := faults[what]
+	if !ok {
+		message = "control activity failed"
+	}
+	n.journal.Lasting(message, journal.Cause(err))
 }
 
 // onTree passes a new tree to the other slices; it runs on the control goroutine.
 func (n *Node) onTree(now time.Time, t config.Tree) {
 	n.limiter.OnTree(now, t)
-	n.limiter.OnKnown(now, n.known(now))
+	n.limiter.OnKnown(now, n.store.Snapshot().Known(now))
 	n.admission.SetSlots(now, n.slots(t))
 	n.admission.SetOut(now, t.IsOut(n.settings.Domain))
 	n.journal.Info("configuration in force", journal.Version(t.Version()))
@@ -145,16 +162,7 @@
 // onBeat takes what another node's heartbeat says of versions; it runs on the control goroutine.
 func (n *Node) onBeat(at time.Time, b instance.Beat) {
 	n.store.Beat(at, b)
-	n.limiter.OnKnown(at, n.known(at))
-}
-
-// known returns the version known of each home; zero stands for a home that was never heard.
-func (n *Node) known(now time.Time) map[string]int64 {
-	known := map[string]int64{}
-	for _, h := range n.store.Snapshot().Homes(now) {
-		known[h.Name] = h.Version
-	}
-	return known
+	n.limiter.OnKnown(at, n.store.Snapshot().Known(at))
 }
 
 // onView follows what the platform says of this node's own target; it runs on the control goroutine.
