--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -124,6 +124,9 @@
 // Services returns the services.
 func (d Deployment) Services() []Service { return d.services }
 
+// Homes returns the names of the homes.
+func (d Deployment) Homes() []string { return d.homes }
+
 // Routes returns the routes.
 func (d Deployment) Routes() []Route { return d.routes }
 
--- a/measure/slope/home.go
+++ b/measure/slope/home.go
@@ -56,7 +56,7 @@
 	defer f.Close()
 	home := f.Nodes()[0]
 	file := func(end string) string { return filepath.Join(dir, end) }
-	identity, err := peer.NewIdentity(file(home.Name+".pem"), file(home.Name+".key"), file("ca.pem"))
+	identity, err := peer.NewIdentity(home.Name, file(home.Name+".pem"), file(home.Name+".key"), file("ca.pem"))
 	if err != nil {
 		return HomeUse{}, err
 	}
--- /dev/null
+++ b/node/instance/cost_test.go
@@ -0,0 +1,33 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkView measures what a heartbeat and the count of peers of each second cost at 1,200 listed instances.
+func BenchmarkView(b *testing.B) {
+	var list []Instance
+	for i := range 1200 {
+		list = append(list, Instance{Name: fmt.Sprintf("instance-%d", i), Domain: "d1", Service: fmt.Sprintf("service-%d", i%150), State: Live})
+	}
+	v := View{}.WithList(at(0), list)
+	for i := range 360 { // six heartbeats a second for a minute
+		v = v.WithBeat(at(0), Beat{Name: list[i].Name, Boot: 1})
+	}
+	b.Run("beat", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			v.WithBeat(at(0), Beat{Name: list[0].Name, Boot: 1})
+		}
+	})
+	b.Run("count", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			for _, s := range []Status{Present, Going, Quiet, Crashed} {
+				v.Instances(at(0).Add(time.Second), s)
+			}
+		}
+	})
+}
