Count peers without building sorted lists

Cause: each second the metrics built and sorted the list of all instances four times to count them.

Change: View.Counts counts in one pass.

TestCounts fails when the node itself counts.

--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -6,6 +6,7 @@
 
 	"verbenapin.dev/node/answer"
 	"verbenapin.dev/node/caller"
+	"verbenapin.dev/node/instance"
 	"verbenapin.dev/node/journal"
 	"verbenapin.dev/node/operator"
 	"verbenapin.dev/node/otlp"
@@ -66,16 +67,6 @@
 	load := n.admission.Load()
 	n.metrics.Load(load.Running, load.Queued, load.Limit)
 	n.metrics.Probing(n.admission.Probing(), n.probeBudget())
-	live, leaving, unreachable := 0, 0, 0
-	for _, p := range n.peerStates(now) {
-		switch p.State {
-		case stateLive:
-			live++
-		case stateLeaving:
-			leaving++
-		default:
-			unreachable++
-		}
-	}
-	n.metrics.Peers(live, leaving, unreachable)
+	peers := n.members.Snapshot().Counts(now, n.settings.Name)
+	n.metrics.Peers(peers[instance.Present], peers[instance.Going], peers[instance.Quiet]+peers[instance.Crashed])
 }
--- a/node/instance/cost_test.go
+++ b/node/instance/cost_test.go
@@ -25,9 +25,7 @@
 	b.Run("count", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			for _, s := range []Status{Present, Going, Quiet, Crashed} {
-				v.Instances(at(0).Add(time.Second), s)
-			}
+			v.Counts(at(0).Add(time.Second), "instance-0")
 		}
 	})
 }
--- a/node/instance/view.go
+++ b/node/instance/view.go
@@ -213,6 +213,17 @@
 	return out
 }
 
+// Counts returns how many instances have each status, without the named one.
+func (v View) Counts(now time.Time, without string) map[Status]int {
+	counts := map[Status]int{}
+	for name := range v.rows {
+		if name != without {
+			counts[v.Status(now, name)]++
+		}
+	}
+	return counts
+}
+
 // Pick returns up to n present instances at random, without the named one.
 func (v View) Pick(now time.Time, n int, without string, random func(n int) int) []Instance {
 	all := slices.DeleteFunc(v.Instances(now, Present), func(i Instance) bool { return i.Name == without })
--- a/node/instance/view_test.go
+++ b/node/instance/view_test.go
@@ -78,6 +78,20 @@
 	}
 }
 
+// TestCounts guards against counts that differ from the lists of instances by status, or contain the node itself.
+func TestCounts(t *testing.T) {
+	v := View{}.WithList(at(0), []Instance{
+		{Name: "a", State: Live}, {Name: "b", State: Live}, {Name: "c", State: Leaving}, {Name: "self", State: Live},
+		{Name: "x", State: Live}, {Name: "q", State: Live},
+	})
+	v = refused(v, 3).WithContact(at(0), "q", Silent)
+	counts := v.Counts(at(0), "self")
+	require.Equal(t, map[Status]int{Present: 2, Going: 1, Crashed: 1, Quiet: 1}, counts)
+	for status, n := range v.Counts(at(0), "") {
+		require.Len(t, v.Instances(at(0), status), n)
+	}
+}
+
 // TestParseList guards against a bad list that replaces a good one.
 func TestParseList(t *testing.T) {
 	cases := map[string]struct{ text, want string }{
