--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -52,7 +52,6 @@
 		grpc.WithStaticConnWindowSize(controlWindow),
 		grpc.WithReadBufferSize(controlBuffer),
 		grpc.WithWriteBufferSize(controlBuffer),
-		grpc.WithSharedWriteBuffer(true),
 	}
 }
 
@@ -65,7 +64,6 @@
 		grpc.StaticConnWindowSize(controlWindow),
 		grpc.ReadBufferSize(controlBuffer),
 		grpc.WriteBufferSize(controlBuffer),
-		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * controlIdle}),
 	)
 	pb.RegisterInstancesServer(s, &rpc.Server{Own: n.members.Own, Receive: n.members.Receive, Now: n.clock.Now})
