--- a/node/instance/view_test.go
+++ b/node/instance/view_test.go
@@ -81,8 +81,12 @@
 // TestCounts guards against counts that differ from the lists of instances by status, or contain the node itself.
 func TestCounts(t *testing.T) {
 	v := View{}.WithList(at(0), []Instance{
-		{Name: "a", State: Live}, {Name: "b", State: Live}, {Name: "c", State: Leaving}, {Name: "self", State: Live},
-		{Name: "x", State: Live}, {Name: "q", State: Live},
+		{Name: "a", State: Live},
+		{Name: "b", State: Live},
+		{Name: "c", State: Leaving},
+		{Name: "self", State: Live},
+		{Name: "x", State: Live},
+		{Name: "q", State: Live},
 	})
 	v = refused(v, 3).WithContact(at(0), "q", Silent)
 	counts := v.Counts(at(0), "self")
