Send to a target that has not answered yet when there is no other

Cause: of twelve requests at once through a node that did not know the only target yet, eleven were refused as busy. Change: when no better target is left, one whose first request is under way gets the next one too; its gate decides. Lost targets are still explored by single requests. Conclusion: a refusal that was certain became a decision of the gate.

--- a/node/peer/board.go
+++ b/node/peer/board.go
@@ -321,7 +321,7 @@
 		}
 	}
 	if nearSeen+farSeen == 0 {
-		return Choice{Reason: reason}, false
+		return b.unheard(candidates, out, tried, reason)
 	}
 	list := make([]int, 0, 3)
 	list = append(list, near[:min(nearSeen, 2)]...)
@@ -351,6 +351,25 @@
 	return choice, true
 }
 
+// unheard returns a target that has not answered yet although a first request is under way, for when there is no
+// better one: its gate decides, while a refusal here would be certain.
+func (b *Board) unheard(candidates []Candidate, out, tried []string, reason Reason) (Choice, bool) {
+	var best *entry
+	for _, c := range candidates {
+		e := b.find(c.Name)
+		if e == nil || e.known || e.lost || e.load.Leaving || slices.Contains(out, c.Domain) || slices.Contains(tried, c.Name) {
+			continue
+		}
+		if best == nil || e.outstanding < best.outstanding {
+			best = e
+		}
+	}
+	if best == nil {
+		return Choice{Reason: reason}, false
+	}
+	return Choice{Name: best.name, Reason: Explore}, true
+}
+
 // excluded returns why the candidate can't be chosen, or an empty reason.
 func (b *Board) excluded(now time.Time, c *Candidate, out, tried []string) Reason {
 	if slices.Contains(out, c.Domain) {
