--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -31,6 +31,7 @@
 		peer.Self{Name: s.Name, Domain: s.Domain}, n.loop, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		n.policy.Choose, n.candidates, n.domainsOut, n.atGate, n.remote,
 	)
+	n.dispatcher.Observe = n.observe
 	spend := n.spend
 	if n.policy.Split {
 		spend = n.spendSplit
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -28,8 +28,19 @@
 	Domain string
 }
 
+// Attempt is one attempt as operators see it.
+type Attempt struct {
+	Number int // from 1
+	Choice Choice
+	Hedge  bool // runs beside the one before it
+}
+
 // Dispatcher holds the board on the control goroutine and sends attempts to targets.
 type Dispatcher struct {
+	// Observe is called before each attempt with its context, route and headers, which it may extend; the returned
+	// function is called with the outcome, a LoserError for an attempt that lost a race. Nil observes nothing.
+	Observe func(ctx context.Context, route string, h http.Header, a Attempt) (context.Context, func(target.Reply, error))
+
 	self       Self
 	loop       *loop.Loop
 	choose     Selector
@@ -73,7 +84,8 @@
 	if err != nil {
 		return nil, target.Reply{Stages: stages}, err
 	}
-	first := leg{name: choice.Name, call: call, measured: route.Hedge > 0 && len(tried) == 0}
+	attempt := Attempt{Number: len(tried) + 1, Choice: choice}
+	first := leg{name: choice.Name, call: call, attempt: attempt, measured: route.Hedge > 0 && len(tried) == 0}
 	var names []string
 	var reply target.Reply
 	if again == nil || after == 0 || !d.enter() {
@@ -133,20 +145,36 @@
 		return answer.NotRun(answer.Domain, "all targets are in failure domains that are taken out")
 	case Leaving:
 		return answer.NotRun(answer.Leaving, "all targets are leaving")
+	case Empty:
+		return answer.NotRun(answer.Busy, "the service has no listed targets").WithAfter(firstBackoff)
+	case Tried:
+		return answer.NotRun(answer.Busy, "all targets were tried").WithAfter(firstBackoff)
 	default:
-		return answer.NotRun(answer.Busy, "no target can be tried now").WithAfter(firstBackoff)
+		return answer.NotRun(answer.Busy, "all targets are lost, busy, or answering a first request that shows their load").WithAfter(firstBackoff)
 	}
 }
 
 // run sends an attempt and updates the board with its outcome.
 func (d *Dispatcher) run(l leg) result {
+	ended := func(target.Reply, error) {}
+	if d.Observe != nil {
+		l.ctx, ended = d.Observe(l.ctx, l.call.Route, l.call.Request.Header, l.attempt)
+	}
 	begun := time.Now()
 	reply, err := d.send(l)
 	took := time.Since(begun)
-	d.learn(l, reply, err, took)
-	if l.name != d.self.Name {
+	if l.name == d.self.Name {
+		reply.Took = took // the node's own target is reached without a network trip
+	} else {
 		reply.Stages.Hop = took
 	}
+	reply.Stages.Instance = l.name
+	d.learn(l, reply, err, took)
+	if err != nil && l.lost() {
+		ended(reply, LoserError{})
+	} else {
+		ended(reply, err)
+	}
 	return result{name: l.name, reply: reply, err: err}
 }
 
