Set faults of the platform for one failure domain

A test needs the configuration service to be down for some failure domains only, so that a change reaches one home. Faults held for all readers at once. A view may now have faults of its own, in place of those for all; setting the faults of all views ends them.

--- a/measure/platform/platform_test.go
+++ b/measure/platform/platform_test.go
@@ -53,6 +53,27 @@
 	return res.StatusCode, string(data), res.Header.Get("Etag")
 }
 
+// TestFaults guards against a fault of one view that reaches the readers of another one, or that outlives a change for all.
+func TestFaults(t *testing.T) {
+	down, stale := Faults{Values: Switch{Down: true}}, Faults{Values: Switch{Stale: 1}}
+	cases := map[string]struct {
+		state State
+		a, b  Faults
+	}{
+		"none":          {},
+		"all":           {state: State{}.WithFaults(down), a: down, b: down},
+		"one view":      {state: State{}.WithViewFaults("b", down), b: down},
+		"one differs":   {state: State{}.WithFaults(down).WithViewFaults("b", stale), a: down, b: stale},
+		"all once more": {state: State{}.WithViewFaults("b", down).WithFaults(stale), a: stale, b: stale},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.a, tc.state.Faults("a"))
+			require.Equal(t, tc.b, tc.state.Faults("b"))
+		})
+	}
+}
+
 // TestServer guards against a protocol that differs from the design page: etags, long polls, faults, views and the admin listener.
 func TestServer(t *testing.T) {
 	s := New()
--- a/measure/platform/server.go
+++ b/measure/platform/server.go
@@ -43,15 +43,15 @@
 	return s
 }
 
-// Listen serves readers on addr; view selects the instance list that they see.
+// Listen serves readers on addr; view selects the instance list and the faults that they see.
 func (s *Server) Listen(addr, view string) (string, error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/values/{name}", func(w http.ResponseWriter, r *http.Request) {
 		name := r.PathValue("name")
-		s.answer(w, r, func(st State) (Value, Switch) { return st.values[name], st.faults.Values })
+		s.answer(w, r, func(st State) (Value, Switch) { return st.values[name], st.Faults(view).Values })
 	})
 	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, r *http.Request) {
-		s.answer(w, r, func(st State) (Value, Switch) { return st.lists[view], st.faults.Instances })
+		s.answer(w, r, func(st State) (Value, Switch) { return st.lists[view], st.Faults(view).Instances })
 	})
 	return s.listen(addr, mux)
 }
@@ -101,11 +101,16 @@
 	return s.change(func(now time.Time, st State) State { return st.WithList(now, view, data) })
 }
 
-// SetFaults replaces the faults of both endpoints.
+// SetFaults replaces the faults of both endpoints for all views.
 func (s *Server) SetFaults(f Faults) error {
 	return s.change(func(_ time.Time, st State) State { return st.WithFaults(f) })
 }
 
+// SetViewFaults replaces the faults of both endpoints for the readers of one view.
+func (s *Server) SetViewFaults(view string, f Faults) error {
+	return s.change(func(_ time.Time, st State) State { return st.WithViewFaults(view, f) })
+}
+
 // Calls returns the counts of readers' calls.
 func (s *Server) Calls() Calls {
 	var c Calls
--- a/measure/platform/state.go
+++ b/measure/platform/state.go
@@ -90,6 +90,7 @@
 	values map[string]Value
 	lists  map[string]Value
 	faults Faults
+	views  map[string]Faults // of single views, in place of faults
 	calls  Calls
 }
 
@@ -105,12 +106,30 @@
 	return s
 }
 
-// WithFaults returns s with other faults.
+// WithFaults returns s with other faults for all views.
 func (s State) WithFaults(f Faults) State {
-	s.faults = f
+	s.faults, s.views = f, nil
 	return s
 }
 
+// WithViewFaults returns s with other faults for the readers of one view.
+func (s State) WithViewFaults(view string, f Faults) State {
+	s.views = maps.Clone(s.views)
+	if s.views == nil {
+		s.views = map[string]Faults{}
+	}
+	s.views[view] = f
+	return s
+}
+
+// Faults returns the faults that the readers of one view meet.
+func (s State) Faults(view string) Faults {
+	if f, ok := s.views[view]; ok {
+		return f
+	}
+	return s.faults
+}
+
 func with(m map[string]Value, name string, v Value) map[string]Value {
 	c := maps.Clone(m)
 	if c == nil {
