--- /dev/null
+++ b/measure/proof/history_test.go
@@ -0,0 +1,146 @@
+package proof
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/measure/deployment"
+	"verbenapin.dev/measure/load"
+)
+
+// waves is the number of bursts of fifty requests.
+const waves = 14
+
+// fault is the time during which a node or its target is killed or paused.
+type fault struct {
+	from, to time.Time
+	kills    bool // the node itself
+}
+
+// excuses tells whether the fault allows an error for the answer: its entry was killed, or its response had begun when its
+// entry was paused or its target failed. What has begun can only be ended by an abort, as section 3 of the design page says.
+func (f fault) excuses(a load.Answer, entry, target bool) bool {
+	if a.Ended.Before(f.from) || a.Started.After(f.to) {
+		return false
+	}
+	return (entry && f.kills) || (a.Status == 200 && (entry || target))
+}
+
+// fiftyAtOnce sends fifty requests at once, again and again, and fails nodes and targets while they run.
+func fiftyAtOnce(t *testing.T) {
+	d := deployment.ChueDee().WithTargets(4, "shortlists", "reservations")
+	for _, a := range d.Accounts() {
+		a.Rate, a.Burst = 1000, 1000
+		d = d.WithAccount(a)
+	}
+	s := newSite(t, d)
+	// Each of a3 and b3 stands beside a target of the route that must not run twice; c1 is a home.
+	const killed, paused, home = "a3", "b3", "c1"
+	down := map[string]fault{}
+	begin := func(name string, kills bool) {
+		down[name] = fault{from: time.Now(), to: time.Now().Add(timeout), kills: kills}
+	}
+	end := func(name string) { f := down[name]; f.to = time.Now(); down[name] = f }
+	steps := map[int]func(){
+		1: func() { begin("b2", false); s.KillTarget("b2") },
+		2: func() { begin(paused, false); require.NoError(t, s.Pause(paused)) },
+		3: func() { require.NoError(t, s.StartColdTarget("b2")); end("b2") },
+		4: func() { begin(killed, true); s.Kill(killed) },
+		5: func() { begin("c2", false); s.KillTarget("c2") },
+		6: func() { require.NoError(t, s.Resume(paused)); end(paused) },
+		7: func() {
+			require.NoError(t, s.StartNode(killed))
+			require.NoError(t, s.AwaitReady(t.Context(), killed))
+			end(killed)
+		},
+		8:  func() { require.NoError(t, s.StartTarget("c2")); end("c2") },
+		9:  func() { begin(home, false); require.NoError(t, s.Pause(home)) },
+		10: func() { begin("a1", false); s.KillTarget("a1"); require.NoError(t, s.StartTarget("a1")); end("a1") },
+		11: func() { require.NoError(t, s.Resume(home)); end(home) },
+	}
+	next := []func(int) load.Request{
+		s.requests(d.Account("bangkok"), "cost=4"), s.requests(d.Account("phuket")), s.requests(d.Account("udon"), "cost=10"),
+		s.requests(d.Account("hatyai"), "bytes=200000", "trailer"),
+	}
+	var all sync.WaitGroup
+	answers := make(chan load.Answer, waves*50)
+	for wave := range waves {
+		for i := range 50 {
+			entry, request := s.Entry(s.names()[i%len(s.names())]), next[i%len(next)](0)
+			all.Go(func() { answers <- s.caller.Do(t.Context(), entry, request, time.Now()) })
+		}
+		// The requests of cost 4 and 10 take 32 ms and 80 ms, so that many of them run at this time.
+		time.Sleep(20 * time.Millisecond)
+		if step := steps[wave]; step != nil {
+			step()
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+	all.Wait()
+	close(answers)
+	var list []load.Answer
+	for a := range answers {
+		list = append(list, a)
+	}
+	r := load.NewResult(list)
+	t.Log(r.Summary())
+	require.Len(t, list, waves*50)
+	s.checkHistory(r, func(a load.Answer) bool {
+		for name, f := range down {
+			if f.excuses(a, a.Entry == s.Entry(name), a.Target == name) {
+				return true
+			}
+		}
+		return false
+	})
+	require.Greater(t, r.Share(load.Answer.OK), 0.5, "the faults left too little to check")
+	require.Positive(t, r.Count(func(a load.Answer) bool { return a.Run == "maybe" || a.Err != nil }), "no fault met a running request")
+}
+
+// shutdown ends a node that is the entry of some requests, and one that only stands beside a target, under load.
+func shutdown(t *testing.T) {
+	d := deployment.Abitudini().WithTargets(3, "checkins", "exports")
+	s := newSite(t, d)
+	const entry, gate = "b1", "c2"
+	long := s.requests(d.Account("lazio"), "cost=60")
+	large := s.requests(d.Account("lombardia"), "bytes=2000000")
+	source := func(next func(int) load.Request, rate float64, entries ...string) load.Source {
+		return load.Source{Rate: rate, Entries: entries, Next: next}
+	}
+	others := []string{s.Entry("a1"), s.Entry("a2"), s.Entry("c1")}
+	far := []load.Source{source(long, 15, others...), source(large, 5, others...), s.source(d.Account("puglia"), 50, others...)}
+	// Callers stop using the node within a second of its shutdown; it keeps its listener open for two.
+	near := []load.Source{source(long, 10, s.Entry(entry)), source(large, 5, s.Entry(entry)), s.source(d.Account("sicilia"), 50, s.Entry(entry))}
+	entered := make(chan load.Result, 1)
+	var at time.Time
+	r := s.during(8*time.Second, far, func() {
+		go func() {
+			entered <- s.caller.Run(t.Context(), load.Plan{Sources: near, For: 3 * time.Second, Seed: seed})
+		}()
+		time.Sleep(2 * time.Second)
+		at = time.Now()
+		for _, name := range []string{entry, gate} {
+			p, err := s.Terminate(name)
+			require.NoError(t, err)
+			defer func() {
+				code, err := p.Wait(35 * time.Second)
+				require.NoError(t, err)
+				require.Zero(t, code, "%s after %s", name, time.Since(at))
+			}()
+		}
+	})
+	all := r.With(<-entered)
+	t.Log(all.Summary())
+	s.checkHistory(all, never)
+	running := 0
+	for _, a := range all.Answers() {
+		require.NotEqual(t, "maybe", a.Run, "cut off: %s", describe(a))
+		if a.OK() && a.Started.Before(at) && a.Ended.After(at) && (a.Target == entry || a.Target == gate || a.Entry == s.Entry(entry)) {
+			running++
+		}
+	}
+	require.Positive(t, running, "no request ran at the nodes when they were asked to end")
+}
