--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -78,6 +78,11 @@
 	for _, name := range s.others {
 		l.listed[name] = true
 	}
+	// A retired home stays excluded when a later version drops its name from both lists.
+	for _, name := range s.retired {
+		delete(l.listed, name)
+		delete(l.known, name)
+	}
 	for name, limit := range s.limits {
 		if _, ok := l.shares[name]; !ok {
 			share := Share{}
@@ -165,6 +170,9 @@
 	}
 }
 
+// Lends tells whether the wait after the start has passed, so that permitted time mints tokens.
+func (l *Ledger) Lends() bool { return l.lowest > 0 }
+
 // Allow states whether this home may mint: its verdict is to serve, and it has heard more than half of the homes,
 // itself included, within Evidence and with versions not above its own. Time without permission mints nothing;
 // neither does a gap between calls longer than Evidence, which is a pause of the process.
--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -24,9 +24,10 @@
 	deadline := deadlineOf(*q)
 	state := q.Header.Get("Tracestate")
 	var tried []string
-	var ran error // the last failure of an attempt that may have run
+	var failures []answer.Refusal
+	settled := false
 	for {
-		if ran == nil {
+		if !settled {
 			if err := s.confirm(q); err != nil {
 				return target.Reply{}, err
 			}
@@ -35,23 +36,25 @@
 		if len(tried) > 0 {
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
-		name, reply, err := s.tries.Try(call, q.route.Service, tried)
-		run, failure := outcomeOf(reply, err)
-		if run != answer.RunNo {
+		names, reply, err := s.tries.Try(call, q.route, tried, s.again(q, body, state, tried))
+		q.result = q.result.withAttempt(names, reply.Stages)
+		failure := failureOf(reply, err)
+		if failure.Run != answer.RunNo && !settled {
 			q.pass.Settle()
-			ran = failure
+			settled = true
 		}
 		if err == nil && (reply.Response.StatusCode != http.StatusServiceUnavailable || !q.route.Idempotent) {
 			return reply, nil
 		}
-		tried = append(tried, name)
+		tried = append(tried, names...)
+		failures = append(failures, failure)
 		failed := Attempt{
-			Run: run, Code: failure.Code, Number: len(tried), Idempotent: q.route.Idempotent, Retrying: IsRetried(state),
+			Run: failure.Run, Code: failure.Code, Number: len(tried), Idempotent: q.route.Idempotent, Retrying: IsRetried(state),
 			Replayable: body.replayable(), Remaining: deadline.Sub(s.now()),
 		}
-		if name == "" || !s.mayRetry(*q, failed) {
-			if run == answer.RunNo && ran != nil {
-				return target.Reply{}, ran // an earlier attempt may have run, so the request is not "not run"
+		if len(names) == 0 || !s.mayRetry(*q, failed) {
+			if err != nil {
+				err = Final(failures, len(names) > 0)
 			}
 			return reply, err
 		}
@@ -61,16 +64,28 @@
 	}
 }
 
-// outcomeOf tells whether an attempt may have run, and describes its failure if it is to be repeated.
-func outcomeOf(reply target.Reply, err error) (answer.Run, answer.Refusal) {
+// again returns the function that makes the request for a second attempt beside the first one, nil if there must be none.
+func (s *Server) again(q *request, body replay, state string, tried []string) func() *http.Request {
+	if len(tried) > 0 || !MayHedge(q.route.Idempotent, body.stream == nil, IsRetried(state)) {
+		return nil
+	}
+	return func() *http.Request {
+		out := body.next(q.Request)
+		out.Header.Set("Tracestate", MarkRetried(state))
+		return out
+	}
+}
+
+// failureOf describes an attempt as a failure, which it is if it is to be repeated.
+func failureOf(reply target.Reply, err error) answer.Refusal {
 	var refused answer.Refusal
 	if errors.As(err, &refused) {
-		return refused.Run, refused
+		return refused
 	}
 	if err != nil {
-		return answer.RunMaybe, answer.MaybeRun(answer.Lost, err.Error())
+		return answer.MaybeRun(answer.Lost, err.Error())
 	}
-	return answer.RunMaybe, answer.MaybeRun(answer.Busy, fmt.Sprintf("the target answered with status %d", reply.Response.StatusCode))
+	return answer.MaybeRun(answer.Busy, fmt.Sprintf("the target answered with status %d", reply.Response.StatusCode))
 }
 
 // confirm makes sure that the account pays for a request that is forwarded now. After a long wait, for example for
@@ -81,7 +96,9 @@
 	}
 	q.pass.Refund()
 	q.pass = free()
+	begun := s.now()
 	pass, err := s.spend(q.Context(), q.account)
+	q.result.Wait += s.now().Sub(begun)
 	if err != nil {
 		return err
 	}
@@ -95,9 +112,7 @@
 	if !allowed || q.Context().Err() != nil || (paid && !s.tries.Retry(q.route)) {
 		return false
 	}
-	if s.events.Retried != nil {
-		s.events.Retried(q.route.Name)
-	}
+	s.events.Retried(q.route.Name)
 	return true
 }
 
