--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -34,6 +34,7 @@
 	Open       bool
 	Deadline   time.Duration
 	Slots      int
+	Hedge      float64 // share of calls
 }
 
 // Account is a client account; its key exists only in the measuring program.
@@ -66,7 +67,7 @@
 			{Name: "exports", Targets: 3, Slots: 12, Time: 8 * time.Millisecond},
 		},
 		routes: []Route{
-			{Name: "history", Path: "/history", Service: "history", Idempotent: true, Slots: 12},
+			{Name: "history", Path: "/history", Service: "history", Idempotent: true, Slots: 12, Hedge: 0.05},
 			{Name: "checkins", Path: "/checkins", Service: "checkins", Slots: 12},
 			{Name: "settings", Path: "/settings", Service: "checkins", Idempotent: true, Slots: 12},
 			{Name: "exports", Path: "/exports", Service: "exports", Idempotent: true, Slots: 12, Deadline: 30 * time.Second},
@@ -124,6 +125,9 @@
 // Services returns the services.
 func (d Deployment) Services() []Service { return d.services }
 
+// Homes returns the names of the homes.
+func (d Deployment) Homes() []string { return d.homes }
+
 // Routes returns the routes.
 func (d Deployment) Routes() []Route { return d.routes }
 
@@ -231,6 +235,9 @@
 		if r.Idempotent {
 			b.WriteString(", idempotent: true")
 		}
+		if r.Hedge > 0 {
+			fmt.Fprintf(&b, ", hedge: %g%%", 100*r.Hedge)
+		}
 		if r.Open {
 			b.WriteString(", open: true")
 		}
