Let limits grow slowly in a failure domain that is brought back

Cause: the limit of a cold target in a returning failure domain rose from 1 to 3 within 80 ms, on four usual responses, while its capacity was 2. Change: the return counts as a restart, after which the limit grows by at most one a second.

--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -86,7 +86,7 @@
 // WithOut returns the gate in a failure domain that is taken out, or brought back; on return the target counts as cold.
 func (g Gate) WithOut(now time.Time, out bool) Gate {
 	if g.out && !out {
-		g.limit = g.limit.WithCold(now)
+		g.limit = g.limit.WithRestart(now)
 	}
 	g.out = out
 	return g
--- a/node/target/gate_test.go
+++ b/node/target/gate_test.go
@@ -348,3 +348,33 @@
 		})
 	}
 }
+
+// TestReturn guards against a target in a failure domain that is brought back and gets more requests at once before
+// it can have warmed up.
+func TestReturn(t *testing.T) {
+	g := NewGate(12).WithOut(start, true).WithOut(start, false)
+	now, id := start, uint64(0)
+	for now.Before(start.Add(3500 * time.Millisecond)) {
+		var started []uint64
+		for range 12 {
+			id++
+			var v Verdict
+			if g, v = g.WithArrival(now, Ticket{ID: id, Account: fmt.Sprint(id % 4)}); v.Action == Start {
+				started = append(started, id)
+			}
+		}
+		require.LessOrEqual(t, len(started), 2+int(now.Sub(start)/time.Second))
+		now = now.Add(10 * time.Millisecond)
+		for len(started) > 0 {
+			var more []Verdict
+			g, more = g.WithDone(now, started[0], Outcome{Kind: Good, Latency: 10 * time.Millisecond})
+			started = started[1:]
+			for _, v := range more {
+				if v.Action == Start {
+					started = append(started, v.ID)
+				}
+			}
+		}
+	}
+	require.Greater(t, g.Load(now).Limit, 2)
+}
