Make the proofs a command, measure prove; share the group of goroutines; refuse large heads in the documented form

Cause: operators could check the invariants only through the test suite; the same code for goroutines that Close waits for stood in two slices; the code large was documented and never sent, since the library cut large heads with its own text. Conclusion: the promises can be checked without the source.

--- a/measure/main.go
+++ b/measure/main.go
@@ -36,6 +36,7 @@
 	}{
 		"demo":   {text: "Start both deployments, send requests, clean up", data: &demoCommand{ctx: ctx}},
 		"run":    {text: "Measure and write the figures", data: &runCommand{ctx: ctx}},
+		"prove":  {text: "Prove the invariants under failures, on node processes", data: &proveCommand{ctx: ctx}},
 		"slopes": {text: "Measure what idle nodes use as the fleet grows", data: &slopesCommand{ctx: ctx}},
 		"home":   {text: "Measure what a home uses for its borrowers", data: &homeCommand{ctx: ctx}},
 		"certs":  {text: "Write throwaway certificates for nodes", data: &certsCommand{}},
--- a/measure/proof/domain_test.go
+++ b/measure/proof/domain.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -19,7 +18,7 @@
 
 // takeOut takes failure domain b out under load and brings it back with targets that were replaced by cold ones;
 // stay runs while it is out.
-func takeOut(t *testing.T, after time.Duration, prepare, stay func(site)) evacuation {
+func takeOut(t *Trial, after time.Duration, prepare, stay func(site)) evacuation {
 	t.Helper()
 	d := deployment.Abitudini().WithTargets(6, "history")
 	s := newSite(t, d)
@@ -31,12 +30,12 @@
 	var out, back time.Time
 	started := map[string][]time.Time{}
 	r := s.during(after+10*time.Second, sources, func() {
-		time.Sleep(2 * time.Second)
+		s.t.Wait(2 * time.Second)
 		prepare(s)
 		out = time.Now()
 		require.NoError(t, s.Publish(d.WithOut("b")))
 		stay(s)
-		time.Sleep(time.Until(out.Add(after)))
+		s.t.Wait(time.Until(out.Add(after)))
 		for _, name := range s.names("b") {
 			target := s.Target(name)
 			s.KillTarget(name)
@@ -44,7 +43,7 @@
 				started[name] = append(started[name], e.At)
 			}
 		}
-		time.Sleep(300 * time.Millisecond)
+		s.t.Wait(300 * time.Millisecond)
 		for _, name := range s.names("b") {
 			require.NoError(t, s.StartColdTarget(name))
 		}
@@ -57,14 +56,14 @@
 }
 
 // domainOut checks when the last work begins in a failure domain that is taken out; the given nodes are paused meanwhile.
-func domainOut(t *testing.T, paused ...string) {
+func domainOut(t *Trial, paused ...string) {
 	s := takeOut(t, spreadWithin+4*time.Second, func(s site) {
 		for _, name := range paused {
 			require.NoError(t, s.Pause(name))
 		}
 	}, func(s site) {
 		// A paused node resumes after the bound, so that what it does then counts.
-		time.Sleep(spreadWithin + 500*time.Millisecond)
+		s.t.Wait(spreadWithin + 500*time.Millisecond)
 		for _, name := range paused {
 			require.NoError(t, s.Resume(name))
 		}
@@ -89,7 +88,7 @@
 }
 
 // domainReturns checks that cold targets get no more than their capacity when their failure domain returns.
-func domainReturns(t *testing.T) {
+func domainReturns(t *Trial) {
 	s := takeOut(t, 2*time.Second, func(site) {}, func(site) {})
 	for _, name := range s.names("b") {
 		report := s.Target(name).Report()
--- a/measure/proof/history_test.go
+++ b/measure/proof/history.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -30,7 +29,7 @@
 }
 
 // fiftyAtOnce sends fifty requests at once, again and again, and fails nodes and targets while they run.
-func fiftyAtOnce(t *testing.T) {
+func fiftyAtOnce(t *Trial) {
 	d := deployment.ChueDee().WithTargets(4, "shortlists", "reservations")
 	for _, a := range d.Accounts() {
 		a.Rate, a.Burst = 1000, 1000
@@ -76,11 +75,11 @@
 			all.Go(func() { answers <- s.caller.Do(t.Context(), entry, request, time.Now()) })
 		}
 		// The requests of cost 6 and 10 take 48 ms and 80 ms on average, so that many of them run at this time.
-		time.Sleep(20 * time.Millisecond)
+		s.t.Wait(20 * time.Millisecond)
 		if step := steps[wave]; step != nil {
 			step()
 		}
-		time.Sleep(600 * time.Millisecond)
+		s.t.Wait(600 * time.Millisecond)
 	}
 	all.Wait()
 	close(answers)
@@ -104,7 +103,7 @@
 }
 
 // shutdown ends a node that is the entry of some requests, and one that only stands beside a target, under load.
-func shutdown(t *testing.T) {
+func shutdown(t *Trial) {
 	account := func(name string) deployment.Account {
 		return deployment.Account{Name: name, Keys: []string{deployment.NewKey(name, 1)}, Rate: 500, Burst: 500, Routes: []string{name}}
 	}
@@ -131,7 +130,7 @@
 		go func() {
 			entered <- s.caller.Run(t.Context(), load.Plan{Sources: near, For: 3 * time.Second, Seed: seed})
 		}()
-		time.Sleep(1700 * time.Millisecond)
+		s.t.Wait(1700 * time.Millisecond)
 		// Each of the three gates of exports admits at least one of these, the entry's own first.
 		for i := range single {
 			from := s.Entry(entry)
@@ -139,7 +138,7 @@
 				from = others[i%len(others)]
 			}
 			go func() { singles <- s.caller.Do(t.Context(), from, longest(0), time.Now()) }()
-			time.Sleep(20 * time.Millisecond)
+			s.t.Wait(20 * time.Millisecond)
 		}
 		at = time.Now()
 		for _, name := range []string{entry, gate} {
--- a/measure/proof/rate_test.go
+++ b/measure/proof/rate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -48,7 +47,7 @@
 	}
 }
 
-func linksCut(t *testing.T) {
+func linksCut(t *Trial) {
 	d := deployment.ChueDee().WithTargets(6, "shortlists")
 	names := []string{"phuket", "khonkaen"}
 	for _, name := range names {
@@ -63,18 +62,18 @@
 	sources := []load.Source{s.source(steady, 4*steady.Rate)}
 	var cut, restored, restarted time.Time
 	// The accounts get their whole burst back, so that the load begins with it: loans end after 2 s.
-	time.Sleep(4 * time.Second)
+	s.t.Wait(4 * time.Second)
 	stop := s.bursts(sudden, 90, 4500*time.Millisecond)
 	r := s.during(28*time.Second, sources, func() {
-		time.Sleep(2 * time.Second)
+		s.t.Wait(2 * time.Second)
 		require.NoError(t, s.Platform.SetViewFaults("c", platform.Faults{Values: platform.Switch{Down: true}}))
 		s.Cut("c")
 		cut = time.Now()
-		time.Sleep(evidenceAge + 3*time.Second)
+		s.t.Wait(evidenceAge + 3*time.Second)
 		restored = time.Now()
 		s.Restore("c")
 		require.NoError(t, s.Platform.SetFaults(platform.Faults{}))
-		time.Sleep(4 * time.Second)
+		s.t.Wait(4 * time.Second)
 		restarted = time.Now()
 		for _, name := range s.names() {
 			s.Kill(name)
--- a/measure/proof/site_test.go
+++ b/measure/proof/site.go
@@ -7,7 +7,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -35,7 +34,7 @@
 // site is a fleet with a caller, of one case.
 type site struct {
 	*fleet.Fleet
-	t          *testing.T
+	t          *Trial
 	deployment deployment.Deployment
 	caller     load.Caller
 	start      time.Time
@@ -43,11 +42,11 @@
 }
 
 // newSite starts a fleet and waits until every node admits requests of every account.
-func newSite(t *testing.T, d deployment.Deployment) site {
+func newSite(t *Trial, d deployment.Deployment) site {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), warmWithin)
 	defer cancel()
-	f, err := fleet.Start(ctx, fleet.Settings{Binary: binary, Dir: t.TempDir(), Deployment: d})
+	f, err := fleet.Start(ctx, fleet.Settings{Binary: t.binary, Dir: t.TempDir(), Deployment: d})
 	require.NoError(t, err)
 	s := site{Fleet: f, t: t, deployment: d, caller: load.NewCaller(timeout), start: time.Now(), sent: &atomic.Int64{}}
 	t.Cleanup(func() {
--- /dev/null
+++ b/measure/proof/trial.go
@@ -0,0 +1,101 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"sync"
+	"time"
+)
+
+// Trial is one run of a case. It has the methods that the assertions of testify need.
+type Trial struct {
+	ctx    context.Context
+	binary string
+	dir    string
+	log    func(text string)
+
+	mu       sync.Mutex
+	failures []string
+	cleanups []func()
+}
+
+// FailedError reports the checks that a case failed.
+type FailedError struct{ Failures []string }
+
+func (e FailedError) Error() string { return fmt.Sprintf("proof: failed: %s", e.Failures) }
+
+// Run runs the case with the given node program; log gets what it observes.
+func (c Case) Run(ctx context.Context, binary string, log func(text string)) error {
+	dir, err := os.MkdirTemp("", "verbenapin-proof-")
+	if err != nil {
+		return fmt.Errorf("proof: creating a directory: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	t := &Trial{ctx: ctx, binary: binary, dir: dir, log: log}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer t.cleanup()
+		c.prove(t) // FailNow ends this goroutine
+	}()
+	<-ended
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.failures) > 0 {
+		return FailedError{Failures: t.failures}
+	}
+	return nil
+}
+
+func (t *Trial) cleanup() {
+	for i := len(t.cleanups) - 1; i >= 0; i-- {
+		t.cleanups[i]()
+	}
+}
+
+// Helper is part of what testify asks for; a trial reports no source lines.
+func (t *Trial) Helper() {}
+
+// Errorf records a failed check.
+func (t *Trial) Errorf(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failures = append(t.failures, fmt.Sprintf(format, args...))
+}
+
+// FailNow ends the case; it must be called on the goroutine of the case.
+func (t *Trial) FailNow() {
+	t.mu.Lock()
+	if len(t.failures) == 0 {
+		t.failures = append(t.failures, "ended early")
+	}
+	t.mu.Unlock()
+	runtime.Goexit()
+}
+
+// Log reports an observation.
+func (t *Trial) Log(args ...any) { t.log(fmt.Sprint(args...)) }
+
+// Logf reports an observation.
+func (t *Trial) Logf(format string, args ...any) { t.log(fmt.Sprintf(format, args...)) }
+
+// Context ends with the run of the program.
+func (t *Trial) Context() context.Context { return t.ctx }
+
+// TempDir returns the directory of the case.
+func (t *Trial) TempDir() string { return t.dir }
+
+// Cleanup adds a function that is called at the end of the case, the last one first.
+func (t *Trial) Cleanup(f func()) { t.cleanups = append(t.cleanups, f) }
+
+// Wait waits for the given time or until the run of the program ends.
+func (t *Trial) Wait(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.ctx.Done():
+	}
+}
--- a/measure/proof/version_test.go
+++ b/measure/proof/version.go
@@ -5,7 +5,6 @@
 	"net/http/httptrace"
 	"slices"
 	"sync/atomic"
-	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -49,7 +48,7 @@
 				if answers[len(answers)-1].OK() {
 					served[i].Store(true)
 				}
-				time.Sleep(40 * time.Millisecond)
+				s.t.Wait(40 * time.Millisecond)
 			}
 			results <- load.NewResult(answers)
 		}()
@@ -101,23 +100,23 @@
 	}
 }
 
-func keyRevoked(t *testing.T) {
+func keyRevoked(t *Trial) {
 	s := newSite(t, five())
 	stop := s.stays()
-	time.Sleep(time.Second)
+	s.t.Wait(time.Second)
 	next, _ := rotated(s.deployment)
 	at := time.Now()
 	require.NoError(t, s.Publish(next))
-	time.Sleep(spreadWithin + time.Second)
+	s.t.Wait(spreadWithin + time.Second)
 	r, opened := stop()
 	s.checkRevoked(r, at)
 	require.Equal(t, int64(len(s.Nodes())), opened, "the callers did not stay connected")
 }
 
-func keyRevokedServiceDown(t *testing.T) {
+func keyRevokedServiceDown(t *Trial) {
 	s := newSite(t, five())
 	stop := s.stays()
-	time.Sleep(time.Second)
+	s.t.Wait(time.Second)
 	down := platform.Faults{Values: platform.Switch{Down: true}}
 	for _, domain := range []string{"b", "c"} {
 		require.NoError(t, s.Platform.SetViewFaults(domain, down))
@@ -130,7 +129,7 @@
 	s.awaitVersion(s.Version(), "a1")
 	require.NoError(t, s.Platform.SetFaults(down))
 	require.NoError(t, s.Resume("a2"))
-	time.Sleep(time.Until(at.Add(spreadWithin + time.Second)))
+	s.t.Wait(time.Until(at.Add(spreadWithin + time.Second)))
 	r, _ := stop()
 	s.checkRevoked(r, at)
 	for _, n := range s.Nodes() {
@@ -139,17 +138,17 @@
 	}
 }
 
-func keyRevokedCutOff(t *testing.T) {
+func keyRevokedCutOff(t *Trial) {
 	// Two nodes are in domain c, so that they still hear each other.
 	s := newSite(t, deployment.Abitudini().WithTargets(6, "history"))
 	stop := s.stays()
-	time.Sleep(time.Second)
+	s.t.Wait(time.Second)
 	require.NoError(t, s.Platform.SetViewFaults("c", platform.Faults{Values: platform.Switch{Down: true}, Instances: platform.Switch{Down: true}}))
 	s.Cut("c")
 	next, _ := rotated(s.deployment)
 	at := time.Now()
 	require.NoError(t, s.Publish(next))
-	time.Sleep(spreadWithin + time.Second)
+	s.t.Wait(spreadWithin + time.Second)
 	r, _ := stop()
 	s.checkRevoked(r, at)
 	for _, a := range r.Answers() {
@@ -189,7 +188,7 @@
 	require.Len(s.t, served, len(s.Nodes())+len(restarted))
 }
 
-func olderVersionServed(t *testing.T) {
+func olderVersionServed(t *Trial) {
 	s := newSite(t, five())
 	old := s.deployment.Account(account)
 	next, renewed := rotated(s.deployment)
@@ -197,7 +196,7 @@
 	s.awaitVersion(s.Version(), s.names()...)
 	stop := s.watch()
 	require.NoError(t, s.Platform.SetFaults(platform.Faults{Values: platform.Switch{Stale: 1}}))
-	time.Sleep(time.Second)
+	s.t.Wait(time.Second)
 	// One node that is no home and then one that is a home restart while the service serves the older version.
 	restarted := map[string]time.Time{}
 	for _, name := range []string{"a2", "b1"} {
@@ -208,11 +207,11 @@
 		for time.Now().Before(end) {
 			a := s.caller.Do(t.Context(), s.Entry(name), s.requests(old)(0), time.Now())
 			require.False(t, a.OK(), "the key of the older version works: %s", describe(a))
-			time.Sleep(10 * time.Millisecond)
+			s.t.Wait(10 * time.Millisecond)
 		}
 		require.NoError(t, s.AwaitReady(t.Context(), name))
 	}
-	time.Sleep(2 * time.Second)
+	s.t.Wait(2 * time.Second)
 	s.checkVersions(stop(), s.Version(), restarted)
 	for _, n := range s.Nodes() {
 		a := s.caller.Do(t.Context(), s.Entry(n.Name), s.requests(renewed)(0), time.Now())
@@ -220,7 +219,7 @@
 	}
 }
 
-func pausedNode(t *testing.T) {
+func pausedNode(t *Trial) {
 	s := newSite(t, five())
 	old := s.deployment.Account(account)
 	// a2 is no home and b1 is one; two of three homes go on, so that the others keep serving.
@@ -230,10 +229,10 @@
 		require.NoError(t, s.Pause(name))
 	}
 	// Messages sent before the change wait in the sockets of the paused nodes and are read after it.
-	time.Sleep(2500 * time.Millisecond)
+	s.t.Wait(2500 * time.Millisecond)
 	require.NoError(t, s.Publish(next))
 	s.awaitVersion(s.Version(), "a1", "c1", "b2")
-	time.Sleep(evidenceAge - 1500*time.Millisecond)
+	s.t.Wait(evidenceAge - 1500*time.Millisecond)
 	// The first requests wait in the sockets, so that they are what the nodes see first.
 	answers := make(chan load.Answer, 1000)
 	const waiting = 20
@@ -242,7 +241,7 @@
 			go func() { answers <- s.caller.Do(t.Context(), s.Entry(name), s.requests(old)(0), time.Now()) }()
 		}
 	}
-	time.Sleep(200 * time.Millisecond)
+	s.t.Wait(200 * time.Millisecond)
 	require.Empty(t, answers, "a paused node answered")
 	for _, name := range paused {
 		require.NoError(t, s.Resume(name))
@@ -268,7 +267,7 @@
 	}
 }
 
-func serviceOutage(t *testing.T) {
+func serviceOutage(t *Trial) {
 	s := newSite(t, five())
 	require.NoError(t, s.Platform.SetFaults(platform.Faults{Values: platform.Switch{Down: true}, Instances: platform.Switch{Down: true}}))
 	at := time.Now()
--- /dev/null
+++ b/measure/prove.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"verbenapin.dev/measure/proof"
+)
+
+type proveCommand struct {
+	Node string   `long:"node" env:"MEASURE_NODE" description:"node program, by default the one beside this program"`
+	Only []string `long:"only" description:"name of a case to run; by default all run"`
+	ctx  context.Context
+}
+
+// UnprovedError reports cases that found a failure.
+type UnprovedError struct{ Failed int }
+
+func (e UnprovedError) Error() string {
+	return fmt.Sprintf("measure: %d cases found a failure", e.Failed)
+}
+
+// Execute runs the cases.
+func (c *proveCommand) Execute([]string) error {
+	binary, err := nodeBinary(c.Node)
+	if err != nil {
+		return err
+	}
+	if failed := proof.Prove(c.ctx, binary, c.Only, os.Stdout); failed > 0 {
+		return UnprovedError{Failed: failed}
+	}
+	return nil
+}
--- a/node/answer/http.go
+++ b/node/answer/http.go
@@ -22,7 +22,6 @@
 	HeaderAccount   = Prefix + "Account"
 	HeaderRoute     = Prefix + "Route"
 	HeaderKey       = Prefix + "Key"
-	HeaderVersion   = Prefix + "Version"
 	HeaderRequestID = "X-Request-Id"
 )
 
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -24,7 +24,9 @@
 	headTimeout  = 10 * time.Second
 	idleTimeout  = 2 * time.Minute
 	maxHeadBytes = 64 << 10
-	maxID        = 64
+	// readHeadBytes is what the library reads before it cuts the connection with a refusal of its own.
+	readHeadBytes = 4 * maxHeadBytes
+	maxID         = 64
 )
 
 // Tries is one request's way through the targets of its service.
@@ -117,7 +119,7 @@
 		ErrorLog:          faults,
 		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeadBytes,
+		MaxHeaderBytes:    readHeadBytes,
 	}
 	return s
 }
@@ -191,6 +193,9 @@
 
 // admit applies the rules of configuration, keys and rates to a request.
 func (s *Server) admit(q request) (request, error) {
+	if headSize(q.Request) > maxHeadBytes {
+		return q, answer.NotRun(answer.Large, "the request head is larger than 64 KB")
+	}
 	host, path, err := Clean(q.Host, rawPath(q.Request))
 	if err != nil {
 		return q, answer.NotRun(answer.Path, err.Error())
@@ -273,6 +278,17 @@
 	s.ended(q)
 }
 
+// headSize returns the size of the request head on the wire, about.
+func headSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // rawPath returns the path as it was received.
 func rawPath(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/node/config/store.go
+++ b/node/config/store.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,10 +67,8 @@
 	version atomic.Pointer[Version]
 	ctx     context.Context
 	cancel  context.CancelFunc
-	running sync.WaitGroup
+	running loop.Group
 	ticks   []*clock.Subscription
-	mu      sync.Mutex
-	closed  bool
 	// rejection is why the newest version was rejected, nil if it was not.
 	rejection atomic.Pointer[string]
 
@@ -131,14 +128,11 @@
 
 // Close stops all calls and waits for them.
 func (c *Store) Close() {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
 	c.cancel()
 	for _, t := range c.ticks {
 		t.Close()
 	}
-	c.running.Wait()
+	c.running.Close()
 }
 
 // Snapshot returns what the node knows of versions; any goroutine may call it.
@@ -247,7 +241,7 @@
 	if home {
 		wait = homeWait
 	}
-	c.spawn(func() {
+	c.running.Go(func() {
 		m, tag, changed, err := c.s.Manifest(c.ctx, etag, wait)
 		c.post(func(done time.Time) {
 			pause := time.Duration(0)
@@ -272,7 +266,7 @@
 // hint fetches the manifest that a heartbeat told of.
 func (c *Store) hint(addr, name string, d Digest) {
 	c.hinting = true
-	c.spawn(func() {
+	c.running.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
 		defer cancel()
 		data, err := c.s.Fetch(ctx, addr, d)
@@ -323,7 +317,7 @@
 	if c.source != "" && c.s.Part != nil && c.Snapshot().IsHome() {
 		sources = append(sources, "")
 	}
-	c.spawn(func() {
+	c.running.Go(func() {
 		err := c.collect(m, have, sources)
 		var t Tree
 		if err == nil {
@@ -416,7 +410,7 @@
 func (c *Store) push(now time.Time) {
 	m := c.Snapshot().Manifest()
 	for _, peer := range c.s.View().Pick(now, fanout, c.s.Name, c.s.Random) {
-		c.spawn(func() {
+		c.running.Go(func() {
 			ctx, cancel := context.WithTimeout(c.ctx, offerTimeout)
 			defer cancel()
 			if _, err := c.s.Offer(ctx, peer.Control, c.s.Name, m); err != nil {
@@ -433,17 +427,3 @@
 }
 
 func (c *Store) post(run loop.Event) { _ = c.s.Loop.Post(c.ctx, run) }
-
-// spawn runs f on its own goroutine unless Close was called.
-func (c *Store) spawn(f func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return
-	}
-	c.running.Add(1)
-	go func() {
-		defer c.running.Done()
-		f()
-	}()
-}
--- a/node/daemon/path_test.go
+++ b/node/daemon/path_test.go
@@ -212,6 +212,12 @@
 			require.Equal(t, answer.RunNo, p.Run)
 		})
 	}
+	large := newRequest(t, http.MethodGet, entry.url("/read"), nil)
+	large.Header.Set("X-Large", strings.Repeat("x", 70_000))
+	res, err := client.Do(large)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, res.StatusCode)
+	require.Equal(t, answer.Large, readProblem(t, res).Code)
 	require.Zero(t, runs.Load())
 	for _, host := range []string{"APP.example", "app.example:80", "app.example."} {
 		r := newRequest(t, http.MethodGet, entry.url("/read"), nil)
--- a/node/instance/members.go
+++ b/node/instance/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,10 +44,8 @@
 	view    atomic.Pointer[View]
 	ctx     context.Context
 	cancel  context.CancelFunc
-	running sync.WaitGroup
+	running loop.Group
 	ticks   []*clock.Subscription
-	mu      sync.Mutex
-	closed  bool
 
 	// Owned by the control goroutine.
 	leaving bool
@@ -87,14 +84,11 @@
 
 // Close stops all calls and waits for them.
 func (m *Members) Close() {
-	m.mu.Lock()
-	m.closed = true
-	m.mu.Unlock()
 	m.cancel()
 	for _, t := range m.ticks {
 		t.Close()
 	}
-	m.running.Wait()
+	m.running.Close()
 }
 
 // Snapshot returns the current view; any goroutine may call it.
@@ -162,7 +156,7 @@
 	if ok {
 		m.beats++
 		own := m.own(now)
-		m.spawn(func() { m.exchange(peer, own) })
+		m.running.Go(func() { m.exchange(peer, own) })
 	}
 }
 
@@ -185,7 +179,7 @@
 }
 
 func (m *Members) readList(etag string) {
-	m.spawn(func() {
+	m.running.Go(func() {
 		list, got, err := m.s.List(m.ctx, etag, listWait)
 		m.post(func(now time.Time) {
 			m.pace.Done(now, 0, err != nil)
@@ -208,17 +202,3 @@
 }
 
 func (m *Members) post(run loop.Event) { _ = m.s.Loop.Post(m.ctx, run) }
-
-// spawn runs f on its own goroutine unless Close was called.
-func (m *Members) spawn(f func()) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.closed {
-		return
-	}
-	m.running.Add(1)
-	go func() {
-		defer m.running.Done()
-		f()
-	}()
-}
--- /dev/null
+++ b/node/loop/group.go
@@ -0,0 +1,27 @@
+package loop
+
+import "sync"
+
+// Group runs goroutines and waits for them when it is closed.
+type Group struct {
+	mu      sync.Mutex
+	closed  bool
+	running sync.WaitGroup
+}
+
+// Go runs f on its own goroutine unless Close was called.
+func (g *Group) Go(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		g.running.Go(f)
+	}
+}
+
+// Close starts no further goroutines and waits for those that run.
+func (g *Group) Close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	g.running.Wait()
+}
--- a/node/loop/loop_test.go
+++ b/node/loop/loop_test.go
@@ -49,3 +49,18 @@
 	require.NoError(t, l.Call(ctx, func(time.Time) {}))
 	require.True(t, ran)
 }
+
+// TestGroup guards against a goroutine that outlives Close, or starts after it.
+func TestGroup(t *testing.T) {
+	var g Group
+	release, ended := make(chan struct{}), false
+	g.Go(func() {
+		<-release
+		ended = true
+	})
+	close(release)
+	g.Close()
+	require.True(t, ended)
+	g.Go(func() { t.Error("started after Close") })
+	g.Close()
+}
