Drop methods that only tests called

Cause: the limiter had two ways to adopt a version and the versions of homes; the node uses those for the control goroutine. Conclusion: one way remains.

--- a/node/account/control.go
+++ b/node/account/control.go
@@ -94,27 +94,6 @@
 	a.ledger.SetKnown(a.since(now), known)
 }
 
-// SetTree adopts a version. When it returns, this home's version may be announced to other homes, not earlier.
-func (a *Limiter) SetTree(ctx context.Context, t config.Tree) error {
-	shares, homes := NewShares(a.self, t), HomesOf(t)
-	err := a.loop.Call(ctx, func(now time.Time) {
-		a.ledger.SetShares(a.since(now), shares)
-		a.book.SetHomes(homes)
-	})
-	if err != nil {
-		return fmt.Errorf("account: adopting version %d: %w", t.Version(), err)
-	}
-	return nil
-}
-
-// SetKnown adopts the versions known of other homes, also of homes that the tree no longer lists.
-func (a *Limiter) SetKnown(ctx context.Context, known map[string]int64) error {
-	if err := a.loop.Call(ctx, func(now time.Time) { a.ledger.SetKnown(a.since(now), known) }); err != nil {
-		return fmt.Errorf("account: adopting versions of homes: %w", err)
-	}
-	return nil
-}
-
 // Lends tells whether this node, if it is a home, has waited long enough after its start to have tokens to lend.
 func (a *Limiter) Lends() bool { return a.lends.Load() }
 
--- a/node/account/control_test.go
+++ b/node/account/control_test.go
@@ -33,8 +33,9 @@
 	}
 	p.node = New("n", l, m.Clock(), send, mint)
 	tree := fleetTree(1, []string{"h"}, nil, Limit{Rate: 10, Burst: 3})
-	require.NoError(t, p.home.SetTree(context.Background(), tree))
-	require.NoError(t, p.node.SetTree(context.Background(), tree))
+	for _, l := range []*Limiter{p.home, p.node} {
+		require.NoError(t, l.loop.Call(context.Background(), func(now time.Time) { l.OnTree(now, tree) }))
+	}
 	// Each step waits for the ticks, so that the home sees no gap that looks like a pause.
 	for range 30 {
 		m.Advance(tickEvery)
