Let SetLeaving call its twin for the control goroutine

Cause: the same two lines stood in both methods. Change: one calls the other; behaviour is the same. Conclusion: one way remains.

--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -123,10 +123,7 @@
 
 // SetLeaving marks the target as leaving, or not.
 func (a *Admission) SetLeaving(ctx context.Context, leaving bool) error {
-	return a.loop.Call(ctx, func(now time.Time) {
-		a.gate = a.gate.WithLeaving(leaving)
-		a.settle(now, nil)
-	})
+	return a.loop.Call(ctx, func(now time.Time) { a.SetLeavingNow(now, leaving) })
 }
 
 // SetLeavingNow is SetLeaving for the control goroutine.
