Add splits, aims, attempts and ranks to the tree

Cause: the users' platform states weighted services, an aim, a number of targets for one request and ranks for each route, and a rank for each account; the tree had no place for them. Ruled out: translating them into existing settings, since none of them divides traffic or orders requests. Change: Route, Account and the format gain split, aim, attempts, rank and bulk; Tree holds what is stated about services and the bounds of clients; a path that ends with a slash matches only what begins with it.

--- a/node/config/format_test.go
+++ b/node/config/format_test.go
@@ -69,6 +69,48 @@
 	}
 }
 
+// TestParseTraffic guards against the settings of splits, aims, attempts and ranks being lost or misread.
+func TestParseTraffic(t *testing.T) {
+	text := "routes:\n  read: {host: h.example, path: /read, split: [\"new 1\", \"old 9\"], aim: 600ms, attempts: 2, rank: 2, bulk: true}\n" +
+		"accounts:\n  one: {rate: 1/s, burst: 1, rank: 1}\n"
+	tree, err := Parse(1, []File{{Name: "tree.yaml", Data: []byte(text)}})
+	require.NoError(t, err)
+	route, _ := tree.Route("read")
+	require.Equal(t, []Share{{Service: "new", Weight: 1}, {Service: "old", Weight: 9}}, route.Split)
+	require.Equal(t, []string{"new", "old"}, route.Services())
+	require.Equal(t, Route{Name: "read", Service: "new"}, Route{Name: "read", Split: route.Split}.To("new"))
+	require.Equal(t, 600*time.Millisecond, route.Aim)
+	require.Equal(t, 2, route.Attempts)
+	require.Equal(t, 2, route.Rank)
+	require.True(t, route.Bulk)
+	account, _ := tree.Account("one")
+	require.Equal(t, 1, account.Rank)
+}
+
+// TestMatchSlash guards against a path with a final slash matching the path without it.
+func TestMatchSlash(t *testing.T) {
+	tree := NewTree(1, Fleet{}, []Route{
+		{Name: "outer", Host: "h", Path: "/a/"}, {Name: "inner", Host: "h", Path: "/a/b/"}, {Name: "plain", Host: "h", Path: "/c"},
+	}, nil)
+	cases := map[string]struct{ path, want string }{
+		"inside":            {path: "/a/x", want: "outer"},
+		"exact":             {path: "/a/", want: "outer"},
+		"longest":           {path: "/a/b/x", want: "inner"},
+		"without the slash": {path: "/a"},
+		"inner without it":  {path: "/a/b", want: "outer"},
+		"plain":             {path: "/c", want: "plain"},
+		"plain segment":     {path: "/c/d", want: "plain"},
+		"part of a segment": {path: "/cd"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			route, ok := tree.Match("h", tc.path)
+			require.Equal(t, tc.want, route.Name)
+			require.Equal(t, tc.want != "", ok)
+		})
+	}
+}
+
 // TestSharedHost guards against a parent that cannot hold what its children share.
 func TestSharedHost(t *testing.T) {
 	text := "routes:\n  base: {host: h.example, service: s}\n  read: {parent: base, path: /read}\n"
@@ -134,6 +176,11 @@
 		"path with dots":        {text: "routes:\n  one: {host: h.example, path: /a/../b, service: s}", line: 2, want: `bad path "/a/../b": it starts with / and has no empty, dot or encoded segment`},
 		"path with end slash":   {text: "routes:\n  one: {host: h.example, path: /a/, service: s}", line: 2, want: `bad path "/a/": it starts with / and has no empty, dot or encoded segment`},
 		"path with escape":      {text: "routes:\n  one: {host: h.example, path: /a%41, service: s}", line: 2, want: `bad path "/a%41": it starts with / and has no empty, dot or encoded segment`},
+		"service and split":     {text: "routes:\n  one: {host: h.example, path: /x, service: s, split: [\"a 1\"]}", line: 2, want: `route "one" has a service and a split; only one of them is allowed`},
+		"share without weight":  {text: "routes:\n  one: {host: h.example, path: /x, split: [a]}", line: 2, want: `bad share "a": a service and its weight are required, such as "history 90"`},
+		"share twice":           {text: "routes:\n  one: {host: h.example, path: /x, split: [\"a 1\", \"a 2\"]}", line: 2, want: `duplicate service "a"`},
+		"weight of zero":        {text: "routes:\n  one: {host: h.example, path: /x, split: [\"a 0\"]}", line: 2, want: "number out of range: a whole number, 1 to 1000000"},
+		"rank out of range":     {text: "routes:\n  one: {host: h.example, path: /x, service: s, rank: 100}", line: 2, want: "number out of range: a whole number, 0 to 99"},
 		"route without path":    {text: "routes:\n  one: {host: h.example, service: s}", line: 2, want: `route "one" has a host but no path or no service`},
 		"rate without burst":    {text: "accounts:\n  one: {rate: 1/s}", line: 2, want: `account "one" has a rate but no burst`},
 		"unknown route":         {text: account + ", routes: [two]}", line: 2, want: `unknown route "two"`},
--- a/node/config/resolve.go
+++ b/node/config/resolve.go
@@ -58,13 +58,16 @@
 			continue
 		}
 		at := r.sections[Routes][name].at
-		if rt.Path == "" || rt.Service == "" {
+		if rt.Path == "" || (rt.Service == "" && len(rt.Split) == 0) {
 			// A parent may hold only what its children share.
 			if !r.isParent(Routes, name) {
 				r.failAt(at, "route %q has a host but no path or no service", name)
 			}
 			continue
 		}
+		if rt.Service != "" && len(rt.Split) > 0 {
+			r.failAt(at, "route %q has a service and a split; only one of them is allowed", name)
+		}
 		if old, ok := paths[rt.Host+rt.Path]; ok {
 			r.failAt(at, "routes %q and %q have the same host and path", old.Name, name)
 		}
--- a/node/config/tree.go
+++ b/node/config/tree.go
@@ -22,36 +22,88 @@
 	Homes   []string // instances that hold account shares and read the configuration service
 	Retired []string // homes that the platform has terminated permanently
 	Out     []string // failure domains taken out
+	Client  Client   // what a caller may send
+}
+
+// Client bounds what a caller may send; zero values leave the defaults of the listener in force.
+type Client struct {
+	Head int           // bytes of a request head
+	Body int64         // bytes of a request body
+	Wait time.Duration // until a request head is complete
+	Idle time.Duration // between requests of a connection
+}
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string
+	Weight  int // relative to the weights of the other shares
 }
 
 // Route tells which requests go to a service and how.
 type Route struct {
 	Name       string
 	Host       string
-	Path       string
+	Path       string // a path that ends with a slash matches only what begins with it, others match whole segments
 	Service    string
+	Split      []Share // services that share the requests, in place of Service
 	Open       bool
 	Idempotent bool
+	Bulk       bool // responses are large
 	Deadline   time.Duration
-	Retries    float64 // share of calls
-	Hedge      float64 // share of calls
-	Probe      float64 // share of a target's time
-	Slots      int     // concurrent requests of a warm target
-	Conns      int     // connections to a target
+	Aim        time.Duration // response time that the operators aim at, zero if none is stated
+	Attempts   int           // targets to which one request may be sent, zero for the default
+	Rank       int           // urgency, 0 is served first
+	Retries    float64       // share of calls
+	Hedge      float64       // share of calls
+	Probe      float64       // share of a target's time
+	Slots      int           // concurrent requests of a warm target
+	Conns      int           // connections to a target
+}
+
+// To returns the route with all requests going to one service.
+func (r Route) To(service string) Route {
+	r.Service, r.Split = service, nil
+	return r
+}
+
+// Services returns the services that requests of the route may go to.
+func (r Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	services := make([]string, 0, len(r.Split))
+	for _, p := range r.Split {
+		services = append(services, p.Service)
+	}
+	return services
 }
 
 // Account is a client account with its fleet-wide limits.
 type Account struct {
 	Name   string
-	Rate   float64 // requests per second
+	Rate   float64 // requests per second, zero for no limit
 	Burst  float64 // requests
+	Rank   int     // urgency, 0 is served first; it precedes the rank of the route
 	Keys   []Digest
 	Routes []string
+	Every  bool // the account may use all routes
 }
 
 // Allows tells whether the account may use the route.
 func (a Account) Allows(route string) bool {
-	return slices.Contains(a.Routes, route)
+	return a.Every || slices.Contains(a.Routes, route)
+}
+
+// Limited tells whether the account has a rate.
+func (a Account) Limited() bool { return a.Rate > 0 }
+
+// Service is what operators state about the targets of a service.
+type Service struct {
+	Name  string
+	Probe string        // path of the health endpoint
+	Conns int           // connections that a target accepts from all callers together, zero if unknown
+	Cold  time.Duration // how long a target stays cold after its start
+	Pace  float64       // requests per second that a cold target bears, zero if unknown
 }
 
 // Tree is one version of the configuration with all inheritance resolved; it never changes.
@@ -61,6 +113,7 @@
 	routes   map[string]Route
 	hosts    map[string][]Route
 	accounts map[string]Account
+	services map[string]Service
 	keys     []keyEntry
 	origins  map[originKey]Origin
 }
@@ -96,6 +149,18 @@
 	return t
 }
 
+// WithServices returns the tree with what operators state about services.
+func (t Tree) WithServices(services []Service) Tree {
+	t.services = make(map[string]Service, len(services))
+	for _, s := range services {
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// Service returns what is stated about a service; an unknown one has no statements.
+func (t Tree) Service(name string) Service { return t.services[name] }
+
 // Version returns the number of the version.
 func (t Tree) Version() int64 { return t.version }
 
@@ -137,7 +202,7 @@
 	return as
 }
 
-// Match returns the route with the longest path prefix, in whole segments, under the host.
+// Match returns the route with the longest matching path under the host.
 func (t Tree) Match(host, path string) (Route, bool) {
 	for _, r := range t.hosts[host] {
 		if hasPrefix(path, r.Path) {
@@ -148,7 +213,9 @@
 }
 
 func hasPrefix(path, prefix string) bool {
-	prefix = strings.TrimSuffix(prefix, "/")
+	if strings.HasSuffix(prefix, "/") {
+		return strings.HasPrefix(path, prefix)
+	}
 	rest, ok := strings.CutPrefix(path, prefix)
 	return ok && (rest == "" || rest[0] == '/')
 }
--- a/node/config/values.go
+++ b/node/config/values.go
@@ -27,6 +27,10 @@
 	maxHomes        = 24 // keeps a heartbeat under 400 bytes and the watches on the service few
 	maxNames        = 1024
 	maxKeys         = 1024
+	maxAttempts     = 16
+	maxRank         = 99
+	maxWeight       = 1_000_000
+	maxShares       = 64
 )
 
 var decimal = regexp.MustCompile(`^[0-9]{1,12}(\.[0-9]{1,6})?$`)
@@ -65,6 +69,11 @@
 		"retries":    func(r *reading, s setting) { e.Retries = r.share(s, 1) },
 		"hedge":      func(r *reading, s setting) { e.Hedge = r.share(s, maxHedge) },
 		"probe":      func(r *reading, s setting) { e.Probe = r.share(s, maxProbe) },
+		"bulk":       func(r *reading, s setting) { e.Bulk = r.truth(s) },
+		"split":      func(r *reading, s setting) { e.Split = r.split(s) },
+		"aim":        func(r *reading, s setting) { e.Aim = r.duration(s) },
+		"attempts":   func(r *reading, s setting) { e.Attempts = r.count(s, maxAttempts) },
+		"rank":       func(r *reading, s setting) { e.Rank = r.rank(s) },
 		"slots":      func(r *reading, s setting) { e.Slots = r.count(s, maxSlots) },
 		"conns":      func(r *reading, s setting) { e.Conns = r.count(s, maxConns) },
 	}
@@ -74,6 +83,7 @@
 	return map[string]field{
 		"rate":   func(r *reading, s setting) { e.Rate = r.rate(s) },
 		"burst":  func(r *reading, s setting) { e.Burst = float64(r.count(s, maxBurst)) },
+		"rank":   func(r *reading, s setting) { e.Rank = r.rank(s) },
 		"keys":   func(r *reading, s setting) { e.Keys = r.digests(s) },
 		"routes": func(r *reading, s setting) { e.Routes = r.names(s, word, maxNames) },
 	}
@@ -151,17 +161,53 @@
 	if !ok {
 		return 0
 	}
+	return r.whole(s, text, 1, most)
+}
+
+func (r *reading) rank(s setting) int {
+	text, ok := r.text(s)
+	if !ok {
+		return 0
+	}
+	return r.whole(s, text, 0, maxRank)
+}
+
+func (r *reading) whole(s setting, text string, least, most int) int {
 	n, ok := r.number(s, text)
 	if !ok {
 		return 0
 	}
-	if n != math.Trunc(n) || n < 1 || n > float64(most) {
-		r.failAt(s.from, "number out of range: a whole number, 1 to %d", most)
+	if n != math.Trunc(n) || n < float64(least) || n > float64(most) {
+		r.failAt(s.from, "number out of range: a whole number, %d to %d", least, most)
 		return 0
 	}
 	return int(n)
 }
 
+// split reads a list of services with their weights, such as ["history 90", "archive 10"].
+func (r *reading) split(s setting) []Share {
+	list := r.list(s)
+	if len(list) > maxShares {
+		r.failAt(s.from, "%d services, at most %d are allowed", len(list), maxShares)
+		return nil
+	}
+	var out []Share
+	seen := map[string]bool{}
+	for _, text := range list {
+		service, weight, ok := strings.Cut(text, " ")
+		switch {
+		case !ok || !label.MatchString(service):
+			r.failAt(s.from, "bad share %q: a service and its weight are required, such as \"history 90\"", text)
+			continue
+		case seen[service]:
+			r.failAt(s.from, "duplicate service %q", service)
+		}
+		seen[service] = true
+		out = append(out, Share{Service: service, Weight: r.whole(s, weight, 1, maxWeight)})
+	}
+	return out
+}
+
 func (r *reading) truth(s setting) bool {
 	text, _ := r.text(s)
 	if text != "true" && text != "false" {
