--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-modules = node ctl measure
+modules = node ctl measure platform
 lint = cd tools/lint && GOWORK=off go tool -n golangci-lint
 
 .PHONY: build demo test race fuzz lint shape measure generate
 
 build:
-	go build -o bin/ ./node ./measure
+	go build -o bin/ ./node ./measure ./platform
 	go build -o bin/verbctl ./ctl
 
 demo: build
--- a/node/account/control.go
+++ b/node/account/control.go
@@ -47,22 +47,45 @@
 	lends   atomic.Bool
 	// lendsFrom is when the wait after the start ended; the control goroutine owns it.
 	lendsFrom time.Time
+	fleets    int64 // calls of SetHomes, which number the shares
 }
 
 // New returns a limiter of the node self, whose state lives on the given loop.
 func New(self string, l *loop.Loop, c *clock.Clock,
 	send func(ctx context.Context, home string, take Take) (Grant, error), mint func(now time.Time) bool,
+) *Limiter {
+	return newLimiter(self, l, c, send, mint, NewLedger(self, 0))
+}
+
+func newLimiter(self string, l *loop.Loop, c *clock.Clock,
+	send func(ctx context.Context, home string, take Take) (Grant, error), mint func(now time.Time) bool, ledger *Ledger,
 ) *Limiter {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Limiter{
 		Send: send, Mint: mint, self: self, loop: l, now: c.Now, start: c.Now(),
-		book: NewBook(rand.Uint64()), ledger: NewLedger(self, 0), waiters: map[string][]chan Decision{},
+		book: NewBook(rand.Uint64()), ledger: ledger, waiters: map[string][]chan Decision{},
 		ctx: ctx, cancel: cancel,
 	}
 	a.tick = c.Subscribe(tickEvery, func(time.Time) { _ = l.Post(ctx, a.onTick) })
 	return a
 }
 
+// NewEager returns a limiter whose homes follow from the fleet, by SetHomes.
+func NewEager(self string, l *loop.Loop, c *clock.Clock,
+	send func(ctx context.Context, home string, take Take) (Grant, error),
+) *Limiter {
+	always := func(time.Time) bool { return true }
+	return newLimiter(self, l, c, send, always, NewEagerLedger(self, 0))
+}
+
+// SetHomes adopts the homes of a fleet, or the accounts of another tree; it must be called on the control goroutine.
+func (a *Limiter) SetHomes(now time.Time, t config.Tree, homes []string) {
+	a.fleets++
+	t = t.WithHomes(homes)
+	a.ledger.SetShares(a.since(now), NewShares(a.self, t).WithVersion(a.fleets))
+	a.book.SetHomes(HomesOf(t))
+}
+
 // since returns the monotonic time since the start.
 func (a *Limiter) since(now time.Time) time.Duration { return now.Sub(a.start) }
 
--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -41,9 +41,16 @@
 	return s
 }
 
+// WithVersion returns the shares under another number, for fleets whose homes change without a new tree.
+func (s Shares) WithVersion(n int64) Shares {
+	s.version = n
+	return s
+}
+
 // Ledger is a home's side: the shares it mints and the loans it gave. The control goroutine owns it.
 type Ledger struct {
 	self    string
+	eager   bool
 	first   int64
 	current Shares
 	listed  map[string]bool  // homes of all versions held
@@ -68,6 +75,14 @@
 	}
 }
 
+// NewEagerLedger returns the ledger of a home that applies each new share at once. The sum of the shares may exceed the
+// rate while views of the fleet differ, which the promise with an overage allows.
+func NewEagerLedger(self string, now time.Duration) *Ledger {
+	l := NewLedger(self, now)
+	l.eager = true
+	return l
+}
+
 // SetShares adopts the shares of a higher version.
 func (l *Ledger) SetShares(now time.Duration, s Shares) {
 	if s.version <= l.current.version {
@@ -139,6 +154,10 @@
 // A home that has just started with an old version first adopts the newer one that it has been told of,
 // since the homes that hold the newer one may not have heard that this home lost it.
 func (l *Ledger) observe(now time.Duration) {
+	if l.eager {
+		l.lowest, l.next = l.current.version, l.current.version
+		return
+	}
 	lowest := l.current.version
 	for name, version := range l.known {
 		if !slices.Contains(l.current.retired, name) {
--- a/node/answer/http.go
+++ b/node/answer/http.go
@@ -4,24 +4,28 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 )
 
-// Names of headers between nodes, callers and targets.
+// Names of headers between nodes; some of them are also the product's own names towards callers and targets.
 const (
-	Prefix          = "Verbenapin-"
-	HeaderRun       = Prefix + "Run"
-	HeaderDeadline  = Prefix + "Deadline"
-	HeaderLoad      = Prefix + "Load"
-	HeaderTook      = Prefix + "Took"  // microseconds at the target's node
-	HeaderQueue     = Prefix + "Queue" // microseconds of that in the gate's queue
-	HeaderAccount   = Prefix + "Account"
-	HeaderRoute     = Prefix + "Route"
-	HeaderKey       = Prefix + "Key"
+	Prefix         = "Verbenapin-"
+	HeaderRun      = Prefix + "Run"
+	HeaderDeadline = Prefix + "Deadline"
+	HeaderLoad     = Prefix + "Load"
+	HeaderTook     = Prefix + "Took"  // microseconds at the target's node
+	HeaderQueue    = Prefix + "Queue" // microseconds of that in the gate's queue
+	HeaderAccount  = Prefix + "Account"
+	HeaderRoute    = Prefix + "Route"
+	HeaderKey      = Prefix + "Key"
+	HeaderFor      = Prefix + "For"     // target that the attempt is meant for
+	HeaderRank     = Prefix + "Rank"    // ranks of account and route
+	HeaderVersion  = Prefix + "Version" // of the sender's configuration
+	HeaderRepeats  = Prefix + "Repeats" // the request may run more than once
+	// HeaderLength marks a request without body: an empty body of unknown length can't be told from none otherwise.
+	HeaderLength    = Prefix + "Length"
 	HeaderRequestID = "X-Request-Id"
 )
 
@@ -36,19 +40,22 @@
 	Text  string `json:"text"`
 }
 
+// Write sends the refusal as JSON in the product's own dialect; id is the request id.
+func Write(w http.ResponseWriter, r Refusal, id string) { Own().Write(w, r, id) }
+
 // Write sends the refusal as JSON; id is the request id.
-func Write(w http.ResponseWriter, r Refusal, id string) {
+func (d Dialect) Write(w http.ResponseWriter, r Refusal, id string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
 	h.Set(HeaderRun, string(r.Run))
 	if r.After > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.After.Seconds()))))
+		h.Set("Retry-After", d.after(r.After))
 	}
 	if r.Code == Key {
 		h.Set("WWW-Authenticate", `Bearer realm="verbenapin"`)
 	}
-	w.WriteHeader(r.Status())
+	w.WriteHeader(d.Status(r))
 	_ = json.NewEncoder(w).Encode(body{Code: r.Code, Run: r.Run, After: r.After.Milliseconds(), ID: id, Text: r.Text})
 }
 
@@ -66,11 +73,22 @@
 	return Refusal{Code: b.Code, Run: run, After: time.Duration(b.After) * time.Millisecond, Text: b.Text}, true, nil
 }
 
-// StripInternal removes the headers that only nodes may set.
-func StripInternal(h http.Header) {
-	for name := range h {
-		if len(name) >= len(Prefix) && strings.EqualFold(name[:len(Prefix)], Prefix) {
-			delete(h, name)
-		}
+// between are the headers that nodes use among themselves.
+var between = []string{
+	HeaderRun, HeaderDeadline, HeaderLoad, HeaderTook, HeaderQueue, HeaderAccount, HeaderRoute, HeaderKey,
+	HeaderFor, HeaderRank, HeaderVersion, HeaderRepeats, HeaderLength,
+}
+
+// StripBetween removes the headers that nodes use among themselves, and leaves those of a dialect.
+func StripBetween(h http.Header) {
+	for _, name := range between {
+		delete(h, name)
 	}
 }
+
+// StripInternal removes the headers that only nodes may set.
+func StripInternal(h http.Header) { Dialect{}.Strip(h) }
+
+func hasPrefix(name string) bool {
+	return len(name) >= len(Prefix) && strings.EqualFold(name[:len(Prefix)], Prefix)
+}
--- a/node/answer/relay.go
+++ b/node/answer/relay.go
@@ -51,10 +51,15 @@
 	}
 }
 
+// Informational returns a client trace that passes 1xx responses on to w in the product's own dialect.
+func Informational(w http.ResponseWriter) (trace *httptrace.ClientTrace, stop func()) {
+	return Own().Informational(w)
+}
+
 // Informational returns a client trace that passes 1xx responses on to w.
 // The library calls it on another goroutine, and with hedged attempts also after the final response of the other one;
 // stop must be called before w is used again, after which nothing more is passed on.
-func Informational(w http.ResponseWriter) (trace *httptrace.ClientTrace, stop func()) {
+func (d Dialect) Informational(w http.ResponseWriter) (trace *httptrace.ClientTrace, stop func()) {
 	var mu sync.Mutex
 	stopped := false
 	trace = &httptrace.ClientTrace{Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
@@ -72,7 +77,7 @@
 			h[name] = values
 		}
 		StripHop(h)
-		StripInternal(h)
+		d.Strip(h)
 		w.WriteHeader(code)
 		clear(h)
 		for name, values := range saved {
@@ -87,14 +92,17 @@
 	}
 }
 
+// Relay writes res to w in the product's own dialect.
+func Relay(w http.ResponseWriter, res *http.Response) error { return Own().Relay(w, res) }
+
 // Relay writes res to w: head, body as a stream, trailers. It closes the body.
 // A response that breaks off yields a TruncatedError; the caller must then abort the connection.
-func Relay(w http.ResponseWriter, res *http.Response) error {
+func (d Dialect) Relay(w http.ResponseWriter, res *http.Response) error {
 	defer func() { _ = res.Body.Close() }()
 	h := w.Header()
 	announced := trailerNames(res)
 	StripHop(res.Header)
-	StripInternal(res.Header)
+	d.Strip(res.Header)
 	for name, values := range res.Header {
 		h[name] = values
 	}
@@ -110,7 +118,7 @@
 	if err := stream(w, res); err != nil {
 		return err
 	}
-	StripInternal(res.Trailer)
+	d.Strip(res.Trailer)
 	for name, values := range res.Trailer {
 		if !slices.Contains(announced, name) {
 			name = http.TrailerPrefix + name
--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return target.Reply{}, answer.NotRun(answer.Path, "the request body broke off")
 	}
-	deadline := deadlineOf(*q)
+	deadline := s.deadlineOf(*q)
 	state := q.Header.Get("Tracestate")
 	var tried []string
 	var failures []answer.Refusal
@@ -32,7 +32,10 @@
 				return target.Reply{}, err
 			}
 		}
-		call := target.Call{Request: body.next(q.Request), Route: q.route.Name, Account: q.account, Key: q.key, Deadline: deadline}
+		call := target.Call{
+			Request: body.next(q.Request), Route: q.route.Name, Account: q.account, Key: q.key, Version: q.version,
+			Rank: q.rank, Idempotent: q.route.Idempotent, Deadline: deadline,
+		}
 		if len(tried) > 0 {
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -36,6 +36,8 @@
 	Try func(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error)
 	// Retry takes one paid retry of the route from the budget.
 	Retry func(route config.Route) bool
+	// Divide returns the route with one of its services; nil stands for routes without a split.
+	Divide func(route config.Route) config.Route
 }
 
 // Events are called for what operators see.
@@ -78,6 +80,11 @@
 
 // Server accepts the requests of callers.
 type Server struct {
+	// Dialect is how the server talks with callers; it must not change after Serve.
+	Dialect answer.Dialect
+	// Origin returns the service beside this node, which targets are told where the dialect asks for it.
+	Origin func() string
+
 	http    *http.Server
 	now     func() time.Time
 	tree    func() (config.Tree, error)
@@ -109,7 +116,10 @@
 	events Events,
 	faults *log.Logger,
 ) *Server {
-	s := &Server{now: now, tree: tree, spend: spend, tries: tries, events: events}
+	s := &Server{
+		Dialect: answer.Own(), Origin: func() string { return "" },
+		now: now, tree: tree, spend: spend, tries: tries, events: events,
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -145,28 +155,31 @@
 // request is one caller's request with what was found out about it.
 type request struct {
 	*http.Request
-	id      string
-	route   config.Route
-	account string
-	key     config.Digest
-	begun   time.Time
-	pass    Pass
-	result  Result
+	received http.Header // headers as the caller sent them
+	id       string
+	route    config.Route
+	account  string
+	key      config.Digest
+	rank     target.Rank
+	version  int64 // of the configuration that admitted the request
+	begun    time.Time
+	pass     Pass
+	result   Result
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := request{Request: r, id: requestID(r.Header), begun: s.now(), pass: free()}
+	q := request{Request: r, received: r.Header, id: s.requestID(r.Header), begun: s.now(), pass: free()}
 	q.Request = r.WithContext(s.events.Begun(r.Context(), r.Header))
-	w.Header().Set(answer.HeaderRequestID, q.id)
+	w.Header().Set(s.Dialect.ID, q.id)
 	q, err := s.admit(q)
 	if err != nil {
 		s.refuse(w, q, err)
 		return
 	}
-	trace, stop := answer.Informational(w)
+	trace, stop := s.Dialect.Informational(w)
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(q.Context(), trace))
 	defer cancel()
 	q.Request = s.outgoing(ctx, q)
@@ -177,7 +190,7 @@
 		return
 	}
 	q.result.Status, q.result.Head = reply.Response.StatusCode, s.now().Sub(q.begun)
-	q.result.Broken = answer.Relay(w, reply.Response)
+	q.result.Broken = s.Dialect.Relay(w, reply.Response)
 	s.ended(q)
 	if q.result.Broken != nil {
 		panic(http.ErrAbortHandler)
@@ -208,11 +221,14 @@
 	if !ok {
 		return q, answer.NotRun(answer.Route, "no route matches host and path")
 	}
-	q.route = route
+	if s.tries.Divide != nil {
+		route = s.tries.Divide(route)
+	}
+	q.route, q.version, q.rank = route, tree.Version(), target.Rank{Route: route.Rank}
 	if route.Open {
 		return q, nil
 	}
-	key := keyOf(q.Header)
+	key := s.Dialect.KeyOf(q.Header)
 	if key == "" {
 		return q, answer.NotRun(answer.Key, "the route needs a key")
 	}
@@ -221,10 +237,13 @@
 	if !ok {
 		return q, answer.NotRun(answer.Key, "the key is unknown or was revoked")
 	}
-	q.account = account.Name
+	q.account, q.rank.Account = account.Name, account.Rank
 	if !account.Allows(route.Name) {
 		return q, answer.NotRun(answer.Scope, "the account may not use the route")
 	}
+	if !account.Limited() {
+		return q, nil
+	}
 	begun := s.now()
 	pass, err := s.spend(q.Context(), account.Name)
 	q.result.Wait = s.now().Sub(begun)
@@ -238,19 +257,32 @@
 // outgoing returns the request as targets may see it.
 func (s *Server) outgoing(ctx context.Context, q request) *http.Request {
 	out := q.Clone(ctx)
-	deadline := out.Header.Get(answer.HeaderDeadline)
-	answer.StripInternal(out.Header)
-	answer.StripHop(out.Header)
-	out.Header.Del("X-Api-Key")
-	out.Header.Del("Authorization")
-	if deadline != "" {
-		out.Header.Set(answer.HeaderDeadline, deadline)
-	}
-	out.Header.Set(answer.HeaderRequestID, q.id)
-	cleanTrace(out.Header)
+	h := out.Header
+	s.Dialect.Strip(h)
+	answer.StripHop(h)
+	for _, name := range s.Dialect.Secrets {
+		h.Del(name)
+	}
+	h.Set(s.Dialect.ID, q.id)
+	setOrDelete(h, s.Dialect.Account, q.account)
+	setOrDelete(h, s.Dialect.Origin, s.Origin())
+	if s.Dialect.Trace {
+		cleanTrace(h)
+	}
 	return out
 }
 
+// setOrDelete sets a header, or removes it if there is no value; an empty name does nothing.
+func setOrDelete(h http.Header, name, value string) {
+	switch {
+	case name == "":
+	case value == "":
+		h.Del(name)
+	default:
+		h.Set(name, value)
+	}
+}
+
 // traceparent is the form of W3C trace context, version 00; later versions only append fields.
 var traceparent = regexp.MustCompile(`^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}`)
 
@@ -274,7 +306,7 @@
 		q.pass.Refund()
 	}
 	q.result.Refusal, q.result.Head = &refused, s.now().Sub(q.begun)
-	answer.Write(w, refused, q.id)
+	s.Dialect.Write(w, refused, q.id)
 	s.ended(q)
 }
 
@@ -298,19 +330,8 @@
 	return r.URL.EscapedPath()
 }
 
-func keyOf(h http.Header) string {
-	if key := h.Get("X-Api-Key"); key != "" {
-		return key
-	}
-	scheme, key, _ := strings.Cut(h.Get("Authorization"), " ")
-	if strings.EqualFold(scheme, "Bearer") {
-		return strings.TrimSpace(key)
-	}
-	return ""
-}
-
-func requestID(h http.Header) string {
-	id := h.Get(answer.HeaderRequestID)
+func (s *Server) requestID(h http.Header) string {
+	id := h.Get(s.Dialect.ID)
 	if id == "" || len(id) > maxID || strings.ContainsFunc(id, isNotIDRune) {
 		return randomHex(8)
 	}
@@ -333,9 +354,9 @@
 }
 
 // deadlineOf returns the route's deadline, or the caller's if it is earlier.
-func deadlineOf(q request) time.Time {
+func (s *Server) deadlineOf(q request) time.Time {
 	limit := q.route.Deadline
-	if ms, err := strconv.ParseFloat(q.Header.Get(answer.HeaderDeadline), 64); err == nil && ms < limit.Seconds()*1000 {
+	if ms, err := strconv.ParseFloat(q.received.Get(s.Dialect.Deadline), 64); err == nil && ms < limit.Seconds()*1000 {
 		limit = time.Duration(ms * float64(time.Millisecond))
 	}
 	return q.begun.Add(limit)
--- a/node/config/store.go
+++ b/node/config/store.go
@@ -113,6 +113,27 @@
 	return c, nil
 }
 
+// NewFed returns a store whose versions come from the platform's registry by Adopt.
+func NewFed(s Settings) *Store {
+	c := New(s)
+	v := c.Snapshot().WithFeed()
+	c.version.Store(&v)
+	return c
+}
+
+// Adopt takes a tree of the registry unless a higher version is held; it must be called on the control goroutine.
+func (c *Store) Adopt(now time.Time, d Digest, t Tree) bool {
+	before := c.Snapshot()
+	m := Manifest{Version: t.Version(), Parts: []Part{{Name: "registry", Sha256: d.String()}}}
+	v := before.WithTree(m, t)
+	c.version.Store(&v)
+	if v.Number() == before.Number() {
+		return false
+	}
+	c.announce(now, t)
+	return true
+}
+
 // OnChange adds a function that is called on the control goroutine with each new tree; it must be added before Start.
 func (c *Store) OnChange(f func(now time.Time, t Tree)) { c.onChange = append(c.onChange, f) }
 
@@ -122,6 +143,9 @@
 		c.post(func(now time.Time) { c.announce(now, v.tree) })
 		return
 	}
+	if c.Snapshot().fed {
+		return
+	}
 	tick := func(time.Time) { c.post(c.tick) }
 	c.ticks = append(c.ticks, c.s.Clock.Subscribe(tickEvery, tick))
 }
--- a/node/config/tree.go
+++ b/node/config/tree.go
@@ -149,6 +149,12 @@
 	return t
 }
 
+// WithHomes returns the tree with the instances that hold account shares.
+func (t Tree) WithHomes(homes []string) Tree {
+	t.fleet.Homes, t.fleet.Retired = homes, nil
+	return t
+}
+
 // WithServices returns the tree with what operators state about services.
 func (t Tree) WithServices(services []Service) Tree {
 	t.services = make(map[string]Service, len(services))
--- a/node/config/version.go
+++ b/node/config/version.go
@@ -83,6 +83,7 @@
 	self     string
 	boot     uint32
 	static   bool
+	fed      bool // the platform's registry gives the versions, and no other node or home confirms them
 	held     Manifest
 	digest   Digest
 	tree     Tree
@@ -111,6 +112,13 @@
 	return v
 }
 
+// WithFeed returns v with the platform's registry as its only source. Such a node serves whatever the age of its version:
+// the platform excuses a node that the registry cannot reach, and callers would be refused for nothing.
+func (v Version) WithFeed() Version {
+	v.fed = true
+	return v
+}
+
 // Number returns the number of the held version, zero if there is none.
 func (v Version) Number() int64 { return v.held.Version }
 
@@ -352,6 +360,8 @@
 		return Verdict{Code: Empty, Reason: "no version has arrived yet"}
 	case v.static:
 		return Verdict{Code: Serve, Reason: "the tree is static"}
+	case v.fed:
+		return Verdict{Code: Serve, Reason: "the registry gives the versions"}
 	case v.alone:
 		return Verdict{Code: Serve, Reason: "this node is the only home"}
 	case fresh(now, v.majority):
@@ -373,7 +383,7 @@
 // EvidenceAge returns the age of the newest evidence, zero where none is needed or there is none.
 func (v Version) EvidenceAge(now time.Time) time.Duration {
 	newest := laterOf(v.majority, v.confirmed)
-	if v.static || v.alone || newest.IsZero() {
+	if v.static || v.fed || v.alone || newest.IsZero() {
 		return 0
 	}
 	return now.Sub(newest)
@@ -381,7 +391,7 @@
 
 // MajorityHeard tells whether more than half of the homes, this node included if it is one, were heard within EvidenceAge.
 func (v Version) MajorityHeard(now time.Time) bool {
-	return v.static || v.alone || fresh(now, v.majority)
+	return v.static || v.fed || v.alone || fresh(now, v.majority)
 }
 
 // HomeHeard returns when the most recently heard home sent its heartbeat, zero if none was heard.
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
@@ -23,6 +24,8 @@
 	"verbenapin.dev/node/instance/rpc/pb"
 	"verbenapin.dev/node/journal"
 	"verbenapin.dev/node/peer"
+	registryrpc "verbenapin.dev/node/registry/rpc"
+	registrypb "verbenapin.dev/node/registry/rpc/pb"
 )
 
 const (
@@ -40,9 +43,14 @@
 	connectTimeout = 500 * time.Millisecond
 )
 
+// dialOptions returns the settings of control connections, which are plain without an identity.
 func dialOptions(i *peer.Identity) []grpc.DialOption {
+	creds := insecure.NewCredentials()
+	if i != nil {
+		creds = credentials.NewTLS(i.ControlConfig("h2"))
+	}
 	return []grpc.DialOption{
-		grpc.WithTransportCredentials(credentials.NewTLS(i.ControlConfig("h2"))),
+		grpc.WithTransportCredentials(creds),
 		grpc.WithIdleTimeout(controlIdle),
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
@@ -57,8 +65,12 @@
 
 // newControl returns the gRPC server for heartbeats, versions and account shares.
 func (n *Node) newControl() *grpc.Server {
+	creds := insecure.NewCredentials()
+	if n.identity != nil {
+		creds = credentials.NewTLS(n.identity.ServerConfig("h2"))
+	}
 	s := grpc.NewServer(
-		grpc.Creds(credentials.NewTLS(n.identity.ServerConfig("h2"))),
+		grpc.Creds(creds),
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.StaticStreamWindowSize(controlWindow),
 		grpc.StaticConnWindowSize(controlWindow),
@@ -69,6 +81,9 @@
 	pb.RegisterInstancesServer(s, &rpc.Server{Own: n.members.Own, Receive: n.members.Receive, Now: n.clock.Now})
 	configpb.RegisterConfigsServer(s, &configrpc.Server{Receive: n.store.Receive, Value: n.store.Value})
 	accountrpc.NewServer(n.limiter.Take).Register(s)
+	if n.feed != nil {
+		registrypb.RegisterRegistryServer(s, &registryrpc.Server{Receive: n.feed.Receive})
+	}
 	return s
 }
 
@@ -87,7 +102,7 @@
 		Failed:   n.failed,
 	}
 	if n.settings.List != nil {
-		s.List = instance.ListReader{URL: n.settings.List.String(), Client: n.platform}.Read
+		s.List = instance.ListReader{URL: n.settings.List.String(), Client: n.services}.Read
 		s.Exchange = func(ctx context.Context, addr string, own instance.Beat) (instance.Beat, error) {
 			return rpc.Client{Conn: n.pool.Conn, Now: n.clock.Now}.Exchange(ctx, addr, own)
 		}
@@ -110,7 +125,10 @@
 	if files != nil {
 		return config.NewStatic(s, 1, files)
 	}
-	reader := config.ServiceReader{URL: n.settings.Config.String(), Client: n.platform}
+	if n.platform != nil {
+		return config.NewFed(s), nil
+	}
+	reader := config.ServiceReader{URL: n.settings.Config.String(), Client: n.services}
 	s.Manifest, s.Part = reader.Manifest, reader.Part
 	return config.New(s), nil
 }
@@ -138,10 +156,14 @@
 
 // onTree passes a new tree to the other slices; it runs on the control goroutine.
 func (n *Node) onTree(now time.Time, t config.Tree) {
-	n.limiter.OnTree(now, t)
-	n.limiter.OnKnown(now, n.store.Snapshot().Known(now))
-	n.admission.SetSlots(now, n.slots(t))
-	n.admission.SetOut(now, t.IsOut(n.settings.Domain))
+	if n.platform != nil {
+		n.onFleet(now)
+	} else {
+		n.limiter.OnTree(now, t)
+		n.limiter.OnKnown(now, n.store.Snapshot().Known(now))
+		n.admission.SetSlots(now, n.slots(t))
+		n.admission.SetOut(now, t.IsOut(n.settings.Domain))
+	}
 	n.journal.Info("configuration in force", journal.Version(t.Version()))
 }
 
@@ -165,6 +187,10 @@
 
 // onView follows what the platform says of this node's own target; it runs on the control goroutine.
 func (n *Node) onView(now time.Time, v instance.View) {
+	if n.platform != nil {
+		n.onFleet(now)
+		return
+	}
 	row, ok := v.Row(n.settings.Name)
 	n.admission.SetLeavingNow(now, n.isLeaving() || (ok && row.State == instance.Leaving))
 }
@@ -188,7 +214,7 @@
 func (e UnlistedError) Error() string { return "daemon: instance " + e.Name + " is not listed" }
 
 func (n *Node) connTo(home string) (grpc.ClientConnInterface, error) {
-	row, ok := n.members.Snapshot().Row(home)
+	row, ok := n.members.Snapshot().Host(home)
 	if !ok {
 		return nil, UnlistedError{Name: home}
 	}
--- a/node/daemon/listen.go
+++ b/node/daemon/listen.go
@@ -7,7 +7,7 @@
 	"syscall"
 )
 
-type listeners struct{ caller, peer, control, admin net.Listener }
+type listeners struct{ caller, peer, control, admin, ready net.Listener }
 
 func (n *Node) listen() error {
 	for _, l := range []struct {
@@ -19,6 +19,7 @@
 		{"--peer", n.settings.Peer, &n.listeners.peer},
 		{"--control", n.settings.Control, &n.listeners.control},
 		{"--admin", n.settings.Admin, &n.listeners.admin},
+		{"--ready", n.settings.Ready, &n.listeners.ready},
 	} {
 		if !l.address.IsValid() {
 			continue
@@ -46,7 +47,7 @@
 }
 
 func (n *Node) closeListeners() {
-	for _, l := range []net.Listener{n.listeners.caller, n.listeners.peer, n.listeners.control, n.listeners.admin} {
+	for _, l := range []net.Listener{n.listeners.caller, n.listeners.peer, n.listeners.control, n.listeners.admin, n.listeners.ready} {
 		if l != nil {
 			_ = l.Close()
 		}
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -23,11 +23,14 @@
 	"verbenapin.dev/node/operator"
 	"verbenapin.dev/node/otlp"
 	"verbenapin.dev/node/peer"
+	"verbenapin.dev/node/registry"
 	"verbenapin.dev/node/target"
 )
 
 const (
 	metricsEvery = time.Second
+	// sweepEvery is the precision with which the grace of lapsed entries ends.
+	sweepEvery = 250 * time.Millisecond
 	// reloadEvery is the longest time until a replaced certificate is used.
 	reloadEvery = 5 * time.Second
 )
@@ -36,6 +39,7 @@
 type Node struct {
 	settings Settings
 	policy   Policy
+	platform *Platform // nil with the product's own services
 	boot     uint32
 	clock    *clock.Clock
 	loop     *loop.Loop
@@ -45,6 +49,8 @@
 
 	store      *config.Store
 	members    *instance.Members
+	feed       *registry.Feed // nil with the product's own services
+	facts      facts
 	limiter    *account.Limiter
 	splits     *account.Splits // used instead of the limiter for comparison
 	admission  *target.Admission
@@ -52,24 +58,32 @@
 	gate       *target.Server
 	dispatcher *peer.Dispatcher
 
-	identity *peer.Identity // nil for a node by itself
+	identity *peer.Identity // nil for a node by itself, and for one with plain connections
 	client   *peer.Client
 	pool     *rpc.Pool
-	platform *http.Client
+	services *http.Client
 
 	callers   *caller.Server
 	peers     *peer.Server
 	control   *grpc.Server
 	operators *operator.Server
+	readiness *readiness // nil without a listener of its own
 	listeners listeners
 	ticks     []*clock.Subscription
 	leaving   chan struct{}
 }
 
 // New opens the listeners and assembles a node; its error is an UnusableError.
-func New(s Settings, p Policy, log io.Writer) (*Node, error) {
-	n := &Node{settings: s, policy: p, boot: rand.Uint32(), clock: clock.New(), leaving: make(chan struct{})}
-	if !s.Alone() {
+func New(s Settings, p Policy, log io.Writer) (*Node, error) { return newNode(s, p, nil, log) }
+
+// NewOn is New for a node on a platform with a registry.
+func NewOn(platform Platform, s Settings, log io.Writer) (*Node, error) {
+	return newNode(s, PolicyFromEnv(os.Getenv), &platform, log)
+}
+
+func newNode(s Settings, p Policy, platform *Platform, log io.Writer) (*Node, error) {
+	n := &Node{settings: s, policy: p, platform: platform, boot: rand.Uint32(), clock: clock.New(), leaving: make(chan struct{})}
+	if !s.Alone() && !s.Plain {
 		identity, err := peer.NewIdentity(s.Name, s.Cert, s.Key, s.CA)
 		if err != nil {
 			return nil, UnusableError{Flag: "--cert, --key or --ca", Err: err, Todo: `see "Certificates" in docs/operators.md`}
@@ -113,7 +127,7 @@
 	if n.tracer, err = n.newTracer(); err != nil {
 		return err
 	}
-	n.platform = &http.Client{}
+	n.services = &http.Client{}
 	n.members = instance.New(n.memberSettings())
 	if n.store, err = n.newStore(files); err != nil {
 		_ = n.tracer.Close()
@@ -121,7 +135,12 @@
 		n.journal.Close()
 		return UnusableError{Flag: "--tree", Err: err, Todo: "correct the file, and check it with verbctl check"}
 	}
-	n.limiter = account.New(s.Name, n.loop, n.clock, n.sendTake, n.mayMint)
+	if n.platform != nil {
+		n.feed = registry.New(n.feedSettings())
+		n.limiter = account.NewEager(s.Name, n.loop, n.clock, n.sendTake)
+	} else {
+		n.limiter = account.New(s.Name, n.loop, n.clock, n.sendTake, n.mayMint)
+	}
 	n.splits = account.NewSplits(n.clock.Now())
 	n.store.OnChange(n.onTree)
 	n.members.OnBeat(n.onBeat)
@@ -184,7 +203,10 @@
 		"caller":   func(context.Context) error { return n.callers.Serve(n.listeners.caller) },
 		"operator": n.operators.Serve,
 	}
-	if n.identity != nil {
+	if n.readiness != nil {
+		m["ready"] = func(context.Context) error { return n.readiness.serve(n.listeners.ready) }
+	}
+	if !n.settings.Alone() {
 		m["peer"] = func(context.Context) error { return n.peers.Serve(n.listeners.peer) }
 		m["control"] = func(context.Context) error { return n.control.Serve(n.listeners.control) }
 	}
@@ -194,6 +216,10 @@
 func (n *Node) start() {
 	n.store.Start()
 	n.members.Start()
+	if n.feed != nil {
+		n.feed.Start()
+		n.ticks = append(n.ticks, n.clock.Subscribe(sweepEvery, func(time.Time) { _ = n.loop.Post(context.Background(), n.sweep) }))
+	}
 	if n.identity != nil {
 		n.ticks = append(n.ticks, n.clock.Subscribe(reloadEvery, func(time.Time) {
 			if err := n.identity.Reload(); err != nil {
--- a/node/daemon/probe.go
+++ b/node/daemon/probe.go
@@ -22,7 +22,11 @@
 const probePath = "/probe"
 
 func (n *Node) probe(ctx context.Context) (time.Duration, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.settings.Target.JoinPath(probePath).String(), nil)
+	path := probePath
+	if stated := n.store.Snapshot().Tree().Service(n.settings.Service).Probe; stated != "" {
+		path = stated
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.settings.Target.JoinPath(path).String(), nil)
 	if err != nil {
 		return 0, fmt.Errorf("daemon: making a probe: %w", err)
 	}
--- /dev/null
+++ b/node/daemon/registry.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/instance"
+	"verbenapin.dev/node/journal"
+	"verbenapin.dev/node/registry"
+	registryrpc "verbenapin.dev/node/registry/rpc"
+)
+
+// Platform holds what a node takes from the platform that it runs on, in place of the product's own services.
+type Platform struct {
+	Source  registry.Source
+	Decode  func(registry.Item) (registry.Fact, error)
+	Dialect answer.Dialect
+	Ready   string // path on which the platform asks whether the node is ready
+}
+
+// facts are what the registry says besides the configuration; the control goroutine changes them.
+type facts struct {
+	targets registry.Targets
+	domains map[string]string // failure domains taken out, by the keys of their entries
+	current atomic.Pointer[[]string]
+}
+
+// out returns the failure domains that are taken out; any goroutine may call it.
+func (f *facts) out() []string {
+	if out := f.current.Load(); out != nil {
+		return *out
+	}
+	return nil
+}
+
+// setOut notes that an entry takes a failure domain out, or none if the name is empty.
+func (f *facts) setOut(key, domain string) bool {
+	if f.domains[key] == domain {
+		return false
+	}
+	next := maps.Clone(f.domains)
+	if next == nil {
+		next = map[string]string{}
+	}
+	if domain == "" {
+		delete(next, key)
+	} else {
+		next[key] = domain
+	}
+	f.domains = next
+	out := slices.Sorted(maps.Values(next))
+	f.current.Store(&out)
+	return true
+}
+
+func (n *Node) feedSettings() registry.Settings {
+	return registry.Settings{
+		Name: n.settings.Name, Domain: n.settings.Domain, Loop: n.loop, Clock: n.clock,
+		Source: n.platform.Source, Decode: n.platform.Decode,
+		Members: n.readers, Changed: n.onRegistry, Failed: n.failed,
+		Tell: func(ctx context.Context, addr string, t registry.Telling) (int64, error) {
+			return registryrpc.Client{Conn: func(addr string) (grpc.ClientConnInterface, error) { return n.pool.Conn(addr) }}.Tell(ctx, addr, t)
+		},
+	}
+}
+
+// readers returns the other nodes that may read the registry.
+func (n *Node) readers(time.Time) []registry.Member {
+	var members []registry.Member
+	for _, row := range n.members.Snapshot().Hosts() {
+		if row.Host() != n.settings.Name {
+			members = append(members, registry.Member{Name: row.Host(), Domain: row.Domain, Control: row.Control})
+		}
+	}
+	return members
+}
+
+// onRegistry takes what changed in the registry; it runs on the control goroutine.
+func (n *Node) onRegistry(now time.Time, c registry.Copy, changes []registry.Change) {
+	targets, moved := n.facts.targets, false
+	for _, change := range changes {
+		key, fact := change.Item.Key, change.Fact
+		switch {
+		case fact.Tree != nil:
+			n.store.Adopt(now, config.DigestOf(string(change.Item.Value)), *fact.Tree)
+			continue
+		case fact.Out != "":
+			if n.facts.setOut(key, fact.Out) {
+				n.journal.Info("failure domain is taken out", journal.Domain(fact.Out), journal.Revision(change.Item.Revision))
+				moved = true
+			}
+			continue
+		case fact.Target != nil:
+			targets, moved = targets.WithTarget(key, *fact.Target), true
+			continue
+		}
+		// The entry was removed, or holds nothing that can be used.
+		if domain := n.facts.domains[key]; domain != "" && n.facts.setOut(key, "") {
+			n.journal.Info("failure domain is brought back", journal.Domain(domain), journal.Revision(change.Item.Revision))
+		}
+		targets, moved = targets.WithRemoval(now, key, c.Returned()), true
+	}
+	n.facts.targets = targets
+	if moved {
+		n.members.SetList(now, targets.List())
+	}
+}
+
+// sweep drops targets whose entries lapsed and did not return; it runs on the control goroutine.
+func (n *Node) sweep(now time.Time) {
+	targets, changed := n.facts.targets.WithTick(now)
+	if changed {
+		n.facts.targets = targets
+		n.members.SetList(now, targets.List())
+	}
+}
+
+// onFleet applies the configuration in force and the listed targets to the parts that depend on both.
+func (n *Node) onFleet(now time.Time) {
+	view, tree := n.members.Snapshot(), n.store.Snapshot().Tree()
+	homes := []string{n.settings.Name}
+	for _, row := range view.Hosts() {
+		if row.Host() != n.settings.Name {
+			homes = append(homes, row.Host())
+		}
+	}
+	n.limiter.SetHomes(now, tree, homes)
+	row, ok := n.ownTarget()
+	if ok {
+		n.admission.SetSlots(now, row.Slots)
+	}
+	n.admission.SetLeavingNow(now, n.isLeaving() || (ok && row.State == instance.Leaving))
+	n.admission.SetOut(now, slices.Contains(n.facts.out(), n.settings.Domain))
+}
+
+// ownTarget returns the entry of the target beside this node, the youngest if there are several.
+func (n *Node) ownTarget() (instance.Instance, bool) {
+	var own instance.Instance
+	found := false
+	for _, row := range n.facts.targets.List() {
+		if row.Host() == n.settings.Name && (!found || row.Born.After(own.Born)) {
+			own, found = row, true
+		}
+	}
+	return own, found
+}
+
+// speak makes the node use the dialect of the platform.
+func (n *Node) speak(d answer.Dialect) {
+	n.callers.Dialect, n.callers.Origin = d, func() string { return n.settings.Service }
+	n.gate.Dialect, n.peers.Dialect = d, d
+}
--- a/node/daemon/settings.go
+++ b/node/daemon/settings.go
@@ -20,7 +20,8 @@
 const help = `Runs one node of the load balancer beside its target.
 
 Every flag can be set by the environment variable shown in brackets; a flag takes precedence.
-A node of a fleet needs --config, --list, --peer, --control, --cert, --key and --ca.
+A node of a fleet needs --config, --list, --peer, --control, --cert, --key and --ca;
+with --plain it needs no certificates, and everybody who reaches its listeners can pose as a node.
 A node by itself needs none of these, but --tree with a configuration file.
 
 Exit codes:
@@ -45,6 +46,8 @@
 	Cert    string `long:"cert" env:"VERBENAPIN_CERT" value-name:"FILE" description:"Certificate of this node (PEM)"`
 	Key     string `long:"key" env:"VERBENAPIN_KEY" value-name:"FILE" description:"Private key of the certificate (PEM)"`
 	CA      string `long:"ca" env:"VERBENAPIN_CA" value-name:"FILE" description:"Certificates of the authorities that sign the nodes of the fleet (PEM)"`
+	Plain   bool   `long:"plain" env:"VERBENAPIN_PLAIN" description:"Connect nodes without TLS; only for closed networks, since a request from anywhere is then taken for one of a node"`
+	Ready   string `long:"ready" env:"VERBENAPIN_READY" value-name:"IP:PORT" description:"Listener that only answers whether the node is ready, for a platform that may not reach --admin"`
 	Grace   string `long:"grace" env:"VERBENAPIN_GRACE" value-name:"TIME" default:"30s" description:"Longest graceful shutdown, with unit, at least 3s and at most 1h"`
 	Log     string `long:"log" env:"VERBENAPIN_LOG" value-name:"LEVEL" default:"info" description:"Lowest level to log: debug, info, warn or error"`
 	Slow    string `long:"slow" env:"VERBENAPIN_SLOW" value-name:"TIME" default:"250ms" description:"Requests whose response head takes longer are logged with their stages; 0s logs none"`
@@ -69,6 +72,9 @@
 	Cert    string
 	Key     string
 	CA      string
+	Plain   bool           // connections between nodes are not encrypted
+	Ready   netip.AddrPort // zero for no listener of its own
+	Fed     bool           // the platform's registry gives configuration and instances
 	Grace   time.Duration
 	Log     logrus.Level
 	Slow    time.Duration // zero logs no slow requests
@@ -78,7 +84,7 @@
 }
 
 // Alone tells whether the node runs without other nodes, and so without peer listeners and certificates.
-func (s Settings) Alone() bool { return s.List == nil }
+func (s Settings) Alone() bool { return s.List == nil && !s.Fed }
 
 // SettingsError lists every fault of the settings with what to do about it.
 type SettingsError struct{ Faults []string }
@@ -154,9 +160,14 @@
 	fleet := f.Tree == "" || f.List != ""
 	s.Peer = c.address("peer", f.Peer, fleet)
 	s.Control = c.address("control", f.Control, fleet)
-	s.Cert = c.file("cert", f.Cert, fleet)
-	s.Key = c.file("key", f.Key, fleet)
-	s.CA = c.file("ca", f.CA, fleet)
+	s.Plain = f.Plain
+	s.Cert = c.file("cert", f.Cert, fleet && !f.Plain)
+	s.Key = c.file("key", f.Key, fleet && !f.Plain)
+	s.CA = c.file("ca", f.CA, fleet && !f.Plain)
+	if f.Plain && f.Cert+f.Key+f.CA != "" {
+		c.fault("--plain", "given together with certificates", "remove --plain, or --cert, --key and --ca")
+	}
+	s.Ready = c.address("ready", f.Ready, false)
 	c.distinct(s)
 	return s
 }
@@ -195,7 +206,7 @@
 	listeners := []struct {
 		flag    string
 		address netip.AddrPort
-	}{{"--caller", s.Caller}, {"--peer", s.Peer}, {"--control", s.Control}, {"--admin", s.Admin}}
+	}{{"--caller", s.Caller}, {"--peer", s.Peer}, {"--control", s.Control}, {"--admin", s.Admin}, {"--ready", s.Ready}}
 	for i, l := range listeners {
 		for _, other := range listeners[:i] {
 			if l.address.IsValid() && l.address.Port() != 0 && l.address == other.address {
--- a/node/daemon/shutdown.go
+++ b/node/daemon/shutdown.go
@@ -54,7 +54,7 @@
 		t.Close()
 	}
 	n.callers.Close()
-	if n.identity != nil {
+	if n.peers != nil {
 		n.peers.Close()
 		n.control.Stop()
 	}
@@ -62,13 +62,19 @@
 	n.admission.Close()
 	n.limiter.Close()
 	n.members.Close()
+	if n.feed != nil {
+		n.feed.Close()
+	}
 	n.store.Close()
-	if n.identity != nil {
+	if n.pool != nil {
 		n.pool.Close()
 		n.client.Close()
 	}
 	n.transport.Close()
-	n.platform.CloseIdleConnections()
+	n.services.CloseIdleConnections()
+	if n.readiness != nil {
+		n.readiness.close()
+	}
 	_ = n.operators.Close()
 	n.loop.Close()
 	_ = n.tracer.Close()
--- a/node/daemon/state.go
+++ b/node/daemon/state.go
@@ -29,6 +29,9 @@
 	if v := n.store.Verdict(); v.Code != config.Serve {
 		return false, v.Reason
 	}
+	if n.platform != nil {
+		return true, ""
+	}
 	// Until then a node by itself, or a fleet that starts as a whole, refuses every request that needs a key.
 	if n.store.Snapshot().IsHome() && !n.limiter.Lends() {
 		return false, "this home does not lend tokens yet, because loans of an earlier run may still be valid"
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 
 	"verbenapin.dev/node/caller"
@@ -21,10 +22,10 @@
 	n.transport = target.NewTransport(s.Target, firstConns)
 	n.admission = target.NewAdmission(n.loop, n.clock, n.policy.Arrive, n.probeBudget, n.probe)
 	n.gate = target.NewServer(n.clock.Now, n.store.Current, n.admission.Admit, n.admission.Load, n.roundTrip)
-	if n.identity != nil {
+	if !s.Alone() {
 		n.pool = rpc.NewPool(dialOptions(n.identity)...)
-		n.client = peer.NewClient(n.clock.Now, n.identity.ClientConfig("http/1.1"), n.addressOf)
-		n.peers = peer.NewServer(n.clock.Now, n.identity.ServerConfig("http/1.1"), n.atGate, n.admission.Load, n.journal.Library("peer"))
+		n.client = peer.NewClient(n.clock.Now, n.clientConfig(), n.addressOf)
+		n.peers = peer.NewServer(n.clock.Now, n.serverConfig(), n.atGate, n.admission.Load, n.journal.Library("peer"))
 		n.control = n.newControl()
 	}
 	n.dispatcher = peer.NewDispatcher(
@@ -37,7 +38,13 @@
 		spend = n.spendSplit
 	}
 	n.callers = caller.NewServer(n.clock.Now, n.store.Current, spend,
-		caller.Tries{Try: n.try, Retry: n.dispatcher.Retry}, n.events(), n.journal.Library("caller"))
+		caller.Tries{Try: n.try, Retry: n.dispatcher.Retry, Divide: n.dispatcher.Divide}, n.events(), n.journal.Library("caller"))
+	if n.platform != nil {
+		n.speak(n.platform.Dialect)
+	}
+	if s.Ready.IsValid() {
+		n.readiness = newReadiness(n.readyPath(), n.ready)
+	}
 	n.operators = operator.New(n.listeners.admin, operator.Seams{
 		Health: n.health, Ready: n.ready, State: n.state, Explain: n.explain, Metrics: n.metrics.Handler(),
 		Faults: n.journal.Library("admin"),
@@ -48,7 +55,26 @@
 	return n.client.Do(name, call)
 }
 
+// clientConfig returns the TLS settings of connections to other nodes, nil for plain ones.
+func (n *Node) clientConfig() *tls.Config {
+	if n.identity == nil {
+		return nil
+	}
+	return n.identity.ClientConfig("http/1.1")
+}
+
+// serverConfig returns the TLS settings of the listener for other nodes, nil for a plain one.
+func (n *Node) serverConfig() *tls.Config {
+	if n.identity == nil {
+		return nil
+	}
+	return n.identity.ServerConfig("http/1.1")
+}
+
 func (n *Node) addressOf(name string) (string, bool) {
+	if n.platform != nil {
+		return name, true // nodes are named by their addresses
+	}
 	row, ok := n.members.Snapshot().Row(name)
 	return row.Peer, ok
 }
@@ -65,13 +91,18 @@
 	var out []peer.Candidate
 	for _, row := range view.Service(service) {
 		if view.Status(now, row.Name) != instance.Going {
-			out = append(out, peer.Candidate{Name: row.Name, Domain: row.Domain})
+			out = append(out, peer.Candidate{Name: row.Name, Domain: row.Domain, Node: row.Node})
 		}
 	}
 	return out
 }
 
-func (n *Node) domainsOut() []string { return n.store.Snapshot().Tree().Fleet().Out }
+func (n *Node) domainsOut() []string {
+	if n.platform != nil {
+		return n.facts.out()
+	}
+	return n.store.Snapshot().Tree().Fleet().Out
+}
 
 func (n *Node) spend(ctx context.Context, name string) (caller.Pass, error) {
 	pass, err := n.limiter.Spend(ctx, name)
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -1,6 +1,8 @@
 // Package instance tracks the instances of the fleet: the platform's list, heartbeats and instances that leave.
 package instance
 
+import "time"
+
 // State is what the platform's list says of an instance.
 type State string
 
@@ -19,4 +21,20 @@
 	Control string `json:"control"` // address for gRPC between nodes
 	Caller  string `json:"caller"`  // address for callers
 	State   State  `json:"state"`
+
+	// The fields below are known only where the platform states them.
+
+	// Node is the name of the node beside the target, empty if that has the name of the instance.
+	Node  string        `json:"-"`
+	Slots int           `json:"-"` // concurrent requests of the warm target, zero if unknown
+	Cold  time.Duration `json:"-"` // how much longer the target was cold when the platform wrote the row
+	Born  time.Time     `json:"-"` // start of the target, zero if unknown
+}
+
+// Host returns the name of the node beside the target.
+func (i Instance) Host() string {
+	if i.Node == "" {
+		return i.Name
+	}
+	return i.Node
 }
--- a/node/instance/members.go
+++ b/node/instance/members.go
@@ -94,6 +94,11 @@
 // Snapshot returns the current view; any goroutine may call it.
 func (m *Members) Snapshot() View { return *m.view.Load() }
 
+// SetList adopts a list that was read elsewhere; it must be called on the control goroutine.
+func (m *Members) SetList(now time.Time, list []Instance) {
+	m.publish(now, m.Snapshot().WithList(now, list))
+}
+
 // Leave marks this node as leaving in all further heartbeats.
 func (m *Members) Leave(ctx context.Context) error {
 	return m.s.Loop.Call(ctx, func(time.Time) { m.leaving = true })
--- a/node/instance/view.go
+++ b/node/instance/view.go
@@ -73,6 +73,7 @@
 
 	// services holds the rows by service, since each request asks for one service.
 	services map[string][]Instance
+	hosts    map[string]Instance // a row of each node
 }
 
 // WithList returns v with a new list.
@@ -90,13 +91,27 @@
 		listed[row.Name] = true
 	}
 	v.rows, v.listed, v.read = rows, listed, true
-	v.services = map[string][]Instance{}
+	v.services, v.hosts = map[string][]Instance{}, make(map[string]Instance, len(rows))
 	for _, row := range rows {
 		v.services[row.Service] = append(v.services[row.Service], row)
+		v.hosts[row.Host()] = row
 	}
 	return v
 }
 
+// Host returns a row of the named node.
+func (v View) Host(name string) (Instance, bool) {
+	row, ok := v.hosts[name]
+	return row, ok
+}
+
+// Hosts returns a row of each node in the order of the nodes' names.
+func (v View) Hosts() []Instance {
+	rows := slices.Collect(maps.Values(v.hosts))
+	slices.SortFunc(rows, func(a, b Instance) int { return strings.Compare(a.Host(), b.Host()) })
+	return rows
+}
+
 // Service returns the known instances of a service in any order; the caller must not change the slice.
 func (v View) Service(name string) []Instance { return v.services[name] }
 
--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -48,6 +48,9 @@
 // Version is the number of a configuration version.
 func Version(n int64) Field { return Field{name: "version", value: n} }
 
+// Revision is a revision of the platform's registry.
+func Revision(n int64) Field { return Field{name: "revision", value: n} }
+
 // Code is the code of a refusal.
 func Code(c answer.Code) Field { return Field{name: codeName, value: string(c)} }
 
--- a/node/peer/board.go
+++ b/node/peer/board.go
@@ -38,6 +38,15 @@
 type Candidate struct {
 	Name   string
 	Domain string
+	Node   string // node beside the target, empty if it has the name of the instance
+}
+
+// Host returns the name of the node beside the target.
+func (c Candidate) Host() string {
+	if c.Node == "" {
+		return c.Name
+	}
+	return c.Node
 }
 
 // Reason tells why a target was chosen, or why there is none.
--- a/node/peer/board_test.go
+++ b/node/peer/board_test.go
@@ -37,7 +37,7 @@
 // TestChoose guards against choices of targets that are taken out, tried, leaving or lost, and against a wrong comparison of the rest.
 func TestChoose(t *testing.T) {
 	idle, busy := report(0, 12), report(24, 12)
-	all := []Candidate{{"a", "near"}, {"b", "near"}, {"c", "far"}}
+	all := []Candidate{{Name: "a", Domain: "near"}, {Name: "b", Domain: "near"}, {Name: "c", Domain: "far"}}
 	leaving := idle
 	leaving.Leaving = true
 	failing := idle
@@ -125,7 +125,7 @@
 
 // TestUnknown guards against an unknown target that gets more than a single request, or none while the others are used little.
 func TestUnknown(t *testing.T) {
-	all := []Candidate{{"a", "near"}, {"b", "near"}}
+	all := []Candidate{{Name: "a", Domain: "near"}, {Name: "b", Domain: "near"}}
 	r := rand.New(rand.NewPCG(1, 1))
 	board := known(report(1, 12), report(1, 12), report(1, 12)).WithLost(start, "a")
 	explored := 0
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -35,21 +35,30 @@
 
 // Client sends requests to other nodes; it never repeats one by itself.
 type Client struct {
-	http *http.Transport
-	now  func() time.Time
+	http   *http.Transport
+	scheme string
+	now    func() time.Time
 }
 
-// NewClient returns a client; address tells where an instance accepts requests of other nodes.
+// NewClient returns a client; address tells where a node accepts requests of other nodes. Without cfg the connections
+// are plain.
 func NewClient(now func() time.Time, cfg *tls.Config, address func(name string) (string, bool)) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &Client{now: now, http: &http.Transport{
+	scheme := "https"
+	if cfg == nil {
+		scheme = "http"
+	}
+	return &Client{now: now, scheme: scheme, http: &http.Transport{
 		DialContext: func(ctx context.Context, network, hostport string) (net.Conn, error) {
 			name, _, err := net.SplitHostPort(hostport)
 			if err != nil {
 				return nil, fmt.Errorf("peer: reading an address: %w", err)
 			}
+			if cfg == nil {
+				name = hostport // plain nodes are named by their addresses
+			}
 			addr, ok := address(name)
 			if !ok {
 				return nil, UnknownError{Name: name}
@@ -76,7 +85,7 @@
 	out := call.Request.WithContext(httptrace.WithClientTrace(call.Request.Context(), trace))
 	out.RequestURI = ""
 	out.URL = &url.URL{
-		Scheme: "https", Host: name,
+		Scheme: c.scheme, Host: name,
 		Path: call.Request.URL.Path, RawPath: call.Request.URL.RawPath,
 		RawQuery: call.Request.URL.RawQuery, ForceQuery: call.Request.URL.ForceQuery,
 	}
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -52,6 +52,7 @@
 	board      Board
 	budgets    map[string]Budget
 	hedges     map[string]Hedge
+	splits     map[string]Split
 	mu         sync.Mutex
 	closed     bool           // guarded by mu
 	running    sync.WaitGroup // races and their attempts
@@ -70,7 +71,7 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		self: self, loop: l, rand: r, choose: choose, candidates: candidates, out: out,
-		local: local, remote: remote, budgets: map[string]Budget{}, hedges: map[string]Hedge{},
+		local: local, remote: remote, budgets: map[string]Budget{}, hedges: map[string]Hedge{}, splits: map[string]Split{},
 	}
 }
 
@@ -79,13 +80,13 @@
 // names of the targets, none if there was none to try; its error is an answer.Refusal.
 func (d *Dispatcher) Try(call target.Call, route config.Route, tried []string, again func() *http.Request) ([]string, target.Reply, error) {
 	arrived := time.Now()
-	choice, after, err := d.pick(call.Request.Context(), route, tried)
+	choice, host, after, err := d.pick(call.Request.Context(), route, tried)
 	stages := target.Stages{Reason: string(choice.Reason), Expected: choice.Wait, Choice: time.Since(arrived)}
 	if err != nil {
 		return nil, target.Reply{Stages: stages}, err
 	}
 	attempt := Attempt{Number: len(tried) + 1, Choice: choice}
-	first := leg{name: choice.Name, call: call, attempt: attempt, measured: route.Hedge > 0 && len(tried) == 0}
+	first := leg{name: choice.Name, host: host, call: call, attempt: attempt, measured: route.Hedge > 0 && len(tried) == 0}
 	var names []string
 	var reply target.Reply
 	if again == nil || after == 0 || !d.enter() {
@@ -98,11 +99,12 @@
 	return names, reply, err
 }
 
-// pick chooses a target and counts the attempt as outstanding there. It also returns the time after which to send a
+// pick chooses a target and counts the attempt as outstanding there. It also returns the target's node and the time after which to send a
 // second attempt, zero for none.
-func (d *Dispatcher) pick(ctx context.Context, route config.Route, tried []string) (Choice, time.Duration, error) {
+func (d *Dispatcher) pick(ctx context.Context, route config.Route, tried []string) (Choice, string, time.Duration, error) {
 	candidates, out := d.candidates(route.Service), d.out()
 	var choice Choice
+	var host string
 	var after time.Duration
 	found := false
 	err := d.loop.Call(context.WithoutCancel(ctx), func(now time.Time) {
@@ -110,7 +112,7 @@
 		if !found {
 			return
 		}
-		d.sent(now, candidates, choice)
+		host = d.sent(now, candidates, choice)
 		if len(tried) > 0 {
 			return
 		}
@@ -122,21 +124,23 @@
 		}
 	})
 	if err != nil {
-		return Choice{}, 0, answer.NotRun(answer.Busy, fmt.Sprintf("target selection failed: %v", err))
+		return Choice{}, "", 0, answer.NotRun(answer.Busy, fmt.Sprintf("target selection failed: %v", err))
 	}
 	if !found {
-		return Choice{}, 0, noTarget(choice.Reason)
+		return Choice{}, "", 0, noTarget(choice.Reason)
 	}
-	return choice, after, nil
+	return choice, host, after, nil
 }
 
-// sent counts an attempt as outstanding; it runs on the control goroutine.
-func (d *Dispatcher) sent(now time.Time, candidates []Candidate, choice Choice) {
+// sent counts an attempt as outstanding and returns the target's node; it runs on the control goroutine.
+func (d *Dispatcher) sent(now time.Time, candidates []Candidate, choice Choice) string {
+	host := choice.Name
 	for _, c := range candidates {
 		if c.Name == choice.Name {
-			d.board = d.board.WithSent(now, c)
+			d.board, host = d.board.WithSent(now, c), c.Host()
 		}
 	}
+	return host
 }
 
 func noTarget(reason Reason) answer.Refusal {
@@ -163,7 +167,7 @@
 	begun := time.Now()
 	reply, err := d.send(l)
 	took := time.Since(begun)
-	if l.name == d.self.Name {
+	if l.host == d.self.Name {
 		reply.Took = took // the node's own target is reached without a network trip
 	} else {
 		reply.Stages.Hop = took
@@ -182,13 +186,13 @@
 func (d *Dispatcher) send(l leg) (target.Reply, error) {
 	timer := time.AfterFunc(time.Until(l.call.Deadline)+deadlineGrace, func() { l.cancel(context.DeadlineExceeded) })
 	call := l.call
-	call.Request = call.Request.WithContext(l.ctx)
+	call.Request, call.Target = call.Request.WithContext(l.ctx), l.name
 	var reply target.Reply
 	var err error
-	if l.name == d.self.Name {
+	if l.host == d.self.Name {
 		reply, err = d.local(call)
 	} else {
-		reply, err = d.remote(l.name, call)
+		reply, err = d.remote(l.host, call)
 	}
 	timer.Stop()
 	if err != nil {
@@ -231,6 +235,23 @@
 	_ = d.loop.Post(context.Background(), func(now time.Time) { d.board = d.board.WithDone(now, name) })
 }
 
+// Divide returns the route with one service for a new request, if the route has several.
+func (d *Dispatcher) Divide(route config.Route) config.Route {
+	if len(route.Split) == 0 {
+		return route
+	}
+	service := route.Split[0].Service
+	// A loop that is closed runs no attempt either, so its error needs no handling here.
+	_ = d.loop.Call(context.Background(), func(time.Time) {
+		s, ok := d.splits[route.Name]
+		if !ok || !s.Divides(route.Split) {
+			s = NewSplit(route.Split, d.rand.Int())
+		}
+		d.splits[route.Name], service = s.WithNext()
+	})
+	return route.To(service)
+}
+
 // Retry takes one paid retry of the route from its budget.
 func (d *Dispatcher) Retry(route config.Route) bool {
 	allowed := false
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -12,9 +12,6 @@
 	"verbenapin.dev/node/target"
 )
 
-// headerLength marks a request without body: HTTP/2 cannot tell an empty body of unknown length from none.
-const headerLength = answer.Prefix + "Length"
-
 // MessageError reports a request between nodes that is malformed.
 type MessageError struct{ Header, Value string }
 
@@ -25,20 +22,29 @@
 // encode writes the attributes of c into h.
 func encode(h http.Header, c target.Call, now time.Time) {
 	h.Set(answer.HeaderRoute, c.Route)
+	h.Set(answer.HeaderFor, c.Target)
+	h.Set(answer.HeaderVersion, strconv.FormatInt(c.Version, 10))
+	h.Set(answer.HeaderRank, fmt.Sprintf("%d %d", c.Rank.Account, c.Rank.Route))
+	if c.Idempotent {
+		h.Set(answer.HeaderRepeats, "yes")
+	}
 	h.Set(answer.HeaderDeadline, strconv.FormatFloat(float64(c.Deadline.Sub(now))/float64(time.Millisecond), 'f', 3, 64))
 	if c.Account != "" {
 		h.Set(answer.HeaderAccount, c.Account)
 		h.Set(answer.HeaderKey, hex.EncodeToString(c.Key[:]))
 	}
 	if target.IsEmpty(c.Request) {
-		h.Set(headerLength, "0")
+		h.Set(answer.HeaderLength, "0")
 	}
 }
 
 // decode reads the attributes of a request from another node and removes them from its headers.
 func decode(r *http.Request, now time.Time) (target.Call, error) {
 	h := r.Header
-	c := target.Call{Request: r, Route: h.Get(answer.HeaderRoute), Account: h.Get(answer.HeaderAccount)}
+	c := target.Call{
+		Request: r, Route: h.Get(answer.HeaderRoute), Account: h.Get(answer.HeaderAccount), Target: h.Get(answer.HeaderFor),
+		Idempotent: h.Get(answer.HeaderRepeats) != "",
+	}
 	if c.Route == "" {
 		return target.Call{}, MessageError{Header: answer.HeaderRoute}
 	}
@@ -46,6 +52,9 @@
 	if err != nil || !(ms >= -maxDeadlineMS && ms <= maxDeadlineMS) {
 		return target.Call{}, MessageError{Header: answer.HeaderDeadline, Value: h.Get(answer.HeaderDeadline)}
 	}
+	if err := decodeControl(h, &c); err != nil {
+		return target.Call{}, err
+	}
 	c.Deadline = now.Add(time.Duration(ms * float64(time.Millisecond)))
 	if c.Account != "" {
 		key, err := hex.DecodeString(h.Get(answer.HeaderKey))
@@ -54,12 +63,28 @@
 		}
 		copy(c.Key[:], key)
 	}
-	if h.Get(headerLength) == "0" {
+	if h.Get(answer.HeaderLength) == "0" {
 		r.Body, r.ContentLength = http.NoBody, 0
 	}
-	answer.StripInternal(h)
+	answer.StripBetween(h)
 	return c, nil
 }
 
+// decodeControl reads the version and the ranks; nodes of an earlier release send neither.
+func decodeControl(h http.Header, c *target.Call) error {
+	var err error
+	if text := h.Get(answer.HeaderVersion); text != "" {
+		if c.Version, err = strconv.ParseInt(text, 10, 64); err != nil {
+			return MessageError{Header: answer.HeaderVersion, Value: text}
+		}
+	}
+	if text := h.Get(answer.HeaderRank); text != "" {
+		if _, err = fmt.Sscanf(text, "%d %d", &c.Rank.Account, &c.Rank.Route); err != nil {
+			return MessageError{Header: answer.HeaderRank, Value: text}
+		}
+	}
+	return nil
+}
+
 // maxDeadlineMS bounds the deadline that another node may send, in milliseconds.
 const maxDeadlineMS = 24 * 3600 * 1000
--- a/node/peer/overload_test.go
+++ b/node/peer/overload_test.go
@@ -308,7 +308,7 @@
 	count = map[string]int{}
 	b := known(report(11, 12), report(12, 12), report(12, 12))
 	for range 1000 {
-		choice, _ := b.Choose(start, r, []Candidate{{"a", "near"}, {"b", "near"}}, "near", nil, nil)
+		choice, _ := b.Choose(start, r, []Candidate{{Name: "a", Domain: "near"}, {Name: "b", Domain: "near"}}, "near", nil, nil)
 		count[choice.Name]++
 	}
 	require.Greater(t, count["a"], count["b"])
--- a/node/peer/race.go
+++ b/node/peer/race.go
@@ -18,7 +18,8 @@
 
 // leg is one attempt of a request, which may run beside another one.
 type leg struct {
-	name     string
+	name     string // of the target
+	host     string // node beside the target
 	call     target.Call
 	attempt  Attempt
 	measured bool // its latency counts for the route
@@ -56,14 +57,14 @@
 		return []string{r.name}, r.reply, r.err
 	case <-timer.C:
 	}
-	choice, ok := d.pickHedge(route, first.name)
+	choice, host, ok := d.pickHedge(route, first.name)
 	if !ok {
 		r := <-results
 		return []string{r.name}, r.reply, r.err
 	}
 	call := first.call
 	call.Request = again()
-	second := leg{name: choice.Name, call: call, attempt: Attempt{Number: first.attempt.Number + 1, Choice: choice, Hedge: true}}.withCancel()
+	second := leg{name: choice.Name, host: host, call: call, attempt: Attempt{Number: first.attempt.Number + 1, Choice: choice, Hedge: true}}.withCancel()
 	d.start(second, results, over)
 	names := []string{first.name, choice.Name}
 	r := <-results
@@ -125,9 +126,10 @@
 
 // pickHedge chooses the target of a second attempt if the budget allows one. A target at which it would wait gets none:
 // it would delay the first attempts of other requests there.
-func (d *Dispatcher) pickHedge(route config.Route, first string) (Choice, bool) {
+func (d *Dispatcher) pickHedge(route config.Route, first string) (Choice, string, bool) {
 	candidates, out := d.candidates(route.Service), d.out()
 	var choice Choice
+	var host string
 	found := false
 	err := d.loop.Call(context.Background(), func(now time.Time) {
 		choice, found = d.choose(d.board, now, d.rand, candidates, d.self.Domain, out, []string{first})
@@ -139,7 +141,7 @@
 			return
 		}
 		d.hedges[route.Name] = h
-		d.sent(now, candidates, choice)
+		host = d.sent(now, candidates, choice)
 	})
-	return choice, err == nil && found
+	return choice, host, err == nil && found
 }
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -21,6 +21,9 @@
 
 // Server accepts the requests of other nodes and hands them to the gate of this node's target.
 type Server struct {
+	// Dialect is how targets talk; it must not change after Serve.
+	Dialect answer.Dialect
+
 	http *http.Server
 	now  func() time.Time
 	do   func(target.Call) (target.Reply, error)
@@ -28,11 +31,11 @@
 }
 
 // NewServer returns a server; do admits and runs an attempt, load reports the state of the gate, and faults takes
-// what the HTTP library reports.
+// what the HTTP library reports. Without cfg it accepts plain connections.
 func NewServer(
 	now func() time.Time, cfg *tls.Config, do func(target.Call) (target.Reply, error), load func() target.Load, faults *log.Logger,
 ) *Server {
-	s := &Server{now: now, do: do, load: load}
+	s := &Server{Dialect: answer.Own(), now: now, do: do, load: load}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	s.http = &http.Server{
@@ -48,7 +51,12 @@
 
 // Serve accepts connections on l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.ServeTLS(l, "", "")
+	var err error
+	if s.http.TLSConfig == nil {
+		err = s.http.Serve(l)
+	} else {
+		err = s.http.ServeTLS(l, "", "")
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -68,7 +76,7 @@
 		s.refuse(w, answer.NotRun(answer.Path, err.Error()), 0)
 		return
 	}
-	trace, stop := answer.Informational(w)
+	trace, stop := s.Dialect.Informational(w)
 	call.Request = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	reply, err := s.do(call)
 	stop()
@@ -83,7 +91,7 @@
 	setMicroseconds(w.Header(), answer.HeaderQueue, reply.Stages.Queue)
 	w.Header().Set(answer.HeaderLoad, s.load().String())
 	setMicroseconds(w.Header(), answer.HeaderTook, s.now().Sub(begun))
-	if err := answer.Relay(w, reply.Response); err != nil {
+	if err := s.Dialect.Relay(w, reply.Response); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- /dev/null
+++ b/node/registry/copy.go
@@ -0,0 +1,162 @@
+package registry
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// maxRemovals bounds the notes of removed items that a copy keeps to tell others of them.
+	maxRemovals = 1024
+	// outageAfter is the time without a confirmation that counts as an outage of the registry. Entries lapse after three
+	// missed heartbeats of their targets, which take longer.
+	outageAfter = 2 * time.Second
+)
+
+// GapError reports news that do not follow what the copy holds.
+type GapError struct{ Held, After int64 }
+
+func (e GapError) Error() string {
+	return fmt.Sprintf("registry: news follow revision %d, but the copy is at %d", e.After, e.Held)
+}
+
+// Copy is a node's copy of the registry at one revision; it never changes.
+type Copy struct {
+	revision  int64
+	floor     int64 // removals up to this revision may have been forgotten
+	items     map[string]Item
+	confirmed time.Time // the registry was at this revision at this time or later
+	returned  time.Time // end of the last outage
+}
+
+// Revision returns the revision of the copy, zero if it is empty.
+func (c Copy) Revision() int64 { return c.revision }
+
+// Confirmed returns when the registry was last found to be at this revision, zero if never.
+func (c Copy) Confirmed() time.Time { return c.confirmed }
+
+// Returned returns when the registry was heard again after the last outage, zero if there was none.
+func (c Copy) Returned() time.Time { return c.returned }
+
+// Age returns the time since the last confirmation, or Unconfirmed.
+func (c Copy) Age(now time.Time) time.Duration {
+	if c.confirmed.IsZero() {
+		return Unconfirmed
+	}
+	return max(now.Sub(c.confirmed), 0)
+}
+
+// WithNews returns the copy after news that arrived at the given time, and the items that changed. Older news change
+// nothing; its error is a GapError if earlier changes are missing.
+func (c Copy) WithNews(at time.Time, n News) (Copy, []Item, error) {
+	switch {
+	case n.After > c.revision:
+		return c, nil, GapError{Held: c.revision, After: n.After}
+	case n.Revision < c.revision:
+		return c, nil, nil
+	}
+	c = c.withConfirmation(at, n.Age)
+	if n.Revision == c.revision {
+		return c, nil, nil
+	}
+	var changed []Item
+	for _, i := range n.Items {
+		if old, ok := c.items[i.Key]; (ok && old.Revision >= i.Revision) || (!ok && i.Gone) {
+			continue
+		}
+		changed = append(changed, i)
+	}
+	if n.After == 0 {
+		changed = append(changed, c.missing(n)...)
+		c.floor = max(c.floor, n.Revision)
+	}
+	c.revision = n.Revision
+	return c.withItems(changed), changed, nil
+}
+
+// withConfirmation keeps the later confirmation. A gap between two of them is an outage of the registry.
+func (c Copy) withConfirmation(at time.Time, age time.Duration) Copy {
+	if age < 0 {
+		return c
+	}
+	confirmed := at.Add(-age)
+	if !confirmed.After(c.confirmed) {
+		return c
+	}
+	if !c.confirmed.IsZero() && confirmed.Sub(c.confirmed) > outageAfter {
+		c.returned = at
+	}
+	c.confirmed = confirmed
+	return c
+}
+
+// missing returns removals of the items that a whole copy lacks. Items that are newer than that copy stay.
+func (c Copy) missing(n News) []Item {
+	present := make(map[string]bool, len(n.Items))
+	for _, i := range n.Items {
+		present[i.Key] = true
+	}
+	var gone []Item
+	for key, i := range c.items {
+		if !i.Gone && !present[key] && i.Revision <= n.Revision {
+			gone = append(gone, Item{Key: key, Revision: n.Revision, Gone: true})
+		}
+	}
+	slices.SortFunc(gone, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	return gone
+}
+
+func (c Copy) withItems(changed []Item) Copy {
+	if len(changed) == 0 {
+		return c
+	}
+	items := maps.Clone(c.items)
+	if items == nil {
+		items = make(map[string]Item, len(changed))
+	}
+	for _, i := range changed {
+		items[i.Key] = i
+	}
+	c.items = items
+	return c.withoutRemovals()
+}
+
+// withoutRemovals forgets the older half of the removals when there are too many; it changes the map, which must be a clone.
+func (c Copy) withoutRemovals() Copy {
+	var revisions []int64
+	for _, i := range c.items {
+		if i.Gone {
+			revisions = append(revisions, i.Revision)
+		}
+	}
+	if len(revisions) <= maxRemovals {
+		return c
+	}
+	slices.Sort(revisions)
+	c.floor = max(c.floor, revisions[len(revisions)/2])
+	maps.DeleteFunc(c.items, func(_ string, i Item) bool { return i.Gone && i.Revision <= c.floor })
+	return c
+}
+
+// Since returns the changes after a revision, or the whole copy if removals since then were forgotten.
+func (c Copy) Since(now time.Time, revision int64) News {
+	n := News{After: min(revision, c.revision), Revision: c.revision, Age: c.Age(now)}
+	if revision < c.floor {
+		n.After = 0
+	}
+	for _, i := range c.items {
+		if i.Revision > n.After && (n.After > 0 || !i.Gone) {
+			n.Items = append(n.Items, i)
+		}
+	}
+	slices.SortFunc(n.Items, func(a, b Item) int {
+		if a.Revision != b.Revision {
+			return int(a.Revision - b.Revision)
+		}
+		return strings.Compare(a.Key, b.Key)
+	})
+	return n
+}
--- /dev/null
+++ b/node/registry/duty.go
@@ -0,0 +1,81 @@
+package registry
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// readers is how many nodes watch the registry. Each call is charged; with three, one in each of three failure
+	// domains, two can be lost at once and the third still brings each change.
+	readers = 3
+	// lateAfter is the age of the last confirmation from which other nodes read as well. Changes have to be in force 2 s
+	// after the registry accepted them, so a second reading must start well before.
+	lateAfter = 1300 * time.Millisecond
+	// joinEvery is the time after which three times as many nodes read while confirmations stay out: readers may be
+	// turned away while others are served.
+	joinEvery = 1200 * time.Millisecond
+)
+
+// Member is a node that may read the registry.
+type Member struct {
+	Name    string
+	Domain  string
+	Control string // address of its control listener
+}
+
+// Order returns the members in the order in which they read: by the hash of their names, the first of each failure
+// domain before the others.
+func Order(members []Member) []Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		if x, y := place(a.Name), place(b.Name); x != y {
+			if x < y {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	var first, rest []Member
+	seen := map[string]bool{}
+	for _, m := range sorted {
+		if seen[m.Domain] {
+			rest = append(rest, m)
+			continue
+		}
+		seen[m.Domain] = true
+		first = append(first, m)
+	}
+	return append(first, rest...)
+}
+
+// Standing is what the decision to read depends on.
+type Standing struct {
+	Rank  int           // position of this node in Order
+	Age   time.Duration // since the last confirmation, Unconfirmed if there was none
+	Heard time.Duration // since the last news of a reader, Unconfirmed if there were none
+}
+
+// IsReader tells whether the node reads while all is well.
+func (s Standing) IsReader() bool { return s.Rank < readers }
+
+// MayRead tells whether the node reads now: always as a reader, and otherwise if confirmations stay out. A node that
+// hears no reader either may be cut off from all of them and reads at once; if readers are heard but get no answer
+// themselves, others join step by step, because the registry may be down for all and each call is charged.
+func (s Standing) MayRead() bool {
+	switch {
+	case s.IsReader(), s.Age == Unconfirmed:
+		return true
+	case s.Age < lateAfter:
+		return false
+	case s.Heard == Unconfirmed || s.Heard >= lateAfter:
+		return true
+	}
+	joined := readers
+	for late := s.Age - lateAfter; late >= 0 && s.Rank >= joined; late -= joinEvery {
+		joined *= 3
+	}
+	return s.Rank < joined
+}
--- /dev/null
+++ b/node/registry/feed.go
@@ -0,0 +1,339 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"verbenapin.dev/node/clock"
+	"verbenapin.dev/node/loop"
+)
+
+const (
+	// tickEvery is the period in which a call of the registry is considered.
+	tickEvery = 100 * time.Millisecond
+	// watchWait is how long a watch may wait for a change. Its answer confirms the copy, so that it bounds the age of
+	// what the fleet knows.
+	watchWait = time.Second
+	// callTimeout is what a call may take beyond the time that a watch waits. The registry answers within
+	// milliseconds; on a connection that went silent, nothing else ends a call.
+	callTimeout = 700 * time.Millisecond
+	// readTimeout bounds the reading of a whole copy, which may have several pages of up to 1 MB.
+	readTimeout = 2 * time.Second
+	// changePause is the time between an answer with changes and the next watch, so that one call brings the changes of
+	// a burst.
+	changePause = 200 * time.Millisecond
+	// failPause is the time after a call that failed.
+	failPause = 300 * time.Millisecond
+	// tellTimeout bounds one telling; a node that is paused or cut off must not hold up those behind it for long.
+	tellTimeout = 300 * time.Millisecond
+	// confirmEvery is the time within which a confirmation that another reader passed on makes one's own needless.
+	confirmEvery = 500 * time.Millisecond
+	// decodeQueue bounds the batches of changed items that wait to be decoded.
+	decodeQueue = 64
+)
+
+// Change is a changed item with the fact that it holds; Fact is empty if the item was removed or cannot be read.
+type Change struct {
+	Item Item
+	Fact Fact
+}
+
+// Telling is news on their way along the ring.
+type Telling struct {
+	News  News
+	Until uint32 // place up to which the receiver passes the news on
+	Last  bool   // the receiver passes them on to nobody
+}
+
+// Settings are what a Feed needs from the rest of the node.
+type Settings struct {
+	Name   string // of this node
+	Domain string
+	Loop   *loop.Loop
+	Clock  *clock.Clock
+	Source Source
+	// Members returns the other nodes that are not known to be gone; it is called on the control goroutine.
+	Members func(now time.Time) []Member
+	// Tell passes news on to the node at addr and returns the revision that it holds.
+	Tell func(ctx context.Context, addr string, t Telling) (int64, error)
+	// Decode reads an item. It is not called on the control goroutine, since a configuration takes a while.
+	Decode func(Item) (Fact, error)
+	// Changed is called on the control goroutine with the changes of the copy, in their order.
+	Changed func(now time.Time, c Copy, changes []Change)
+	// Failed is told of errors, for the log.
+	Failed func(what string, err error)
+}
+
+// Feed keeps the copy up to date.
+type Feed struct {
+	s       Settings
+	copy    atomic.Pointer[Copy]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running loop.Group
+	tick    *clock.Subscription
+	batches chan batch
+
+	// Owned by the control goroutine.
+	calling bool
+	next    time.Time // earliest start of the next call
+	whole   bool      // the next call reads the whole registry, because history is missing
+	heard   time.Time // last news from another node
+	spread  time.Time // last confirmation that this node knows to have been passed on
+}
+
+// batch is a copy with the items that changed in it.
+type batch struct {
+	copy  Copy
+	items []Item
+}
+
+// New returns a feed that does nothing before Start.
+func New(s Settings) *Feed {
+	f := &Feed{s: s, batches: make(chan batch, decodeQueue)}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.copy.Store(&Copy{})
+	return f
+}
+
+// Snapshot returns the current copy; any goroutine may call it.
+func (f *Feed) Snapshot() Copy { return *f.copy.Load() }
+
+// Start begins to read.
+func (f *Feed) Start() {
+	f.running.Go(f.decode)
+	tick := func(time.Time) { f.post(f.onTick) }
+	tick(time.Time{})
+	f.tick = f.s.Clock.Subscribe(tickEvery, tick)
+}
+
+// Close stops all calls and waits for them.
+func (f *Feed) Close() {
+	f.cancel()
+	if f.tick != nil {
+		f.tick.Close()
+	}
+	f.running.Close()
+}
+
+// Receive takes news from another node and returns the revision that this node holds afterwards.
+func (f *Feed) Receive(ctx context.Context, t Telling) (int64, error) {
+	var revision int64
+	at := f.s.Clock.Now()
+	err := f.s.Loop.Call(ctx, func(now time.Time) {
+		f.heard = now
+		revision = f.receive(now, at, t)
+	})
+	if err != nil {
+		return 0, fmt.Errorf("registry: receiving news: %w", err)
+	}
+	return revision, nil
+}
+
+func (f *Feed) receive(now, at time.Time, t Telling) int64 {
+	held := f.Snapshot()
+	if _, err := f.adopt(at, t.News); err != nil {
+		return held.Revision() // the sender sends what is missing
+	}
+	if t.News.Age >= 0 {
+		f.spread = laterOf(f.spread, at.Add(-t.News.Age))
+	}
+	if !t.Last {
+		f.pass(now, t.News.After, Errands(f.s.Name, f.s.Members(now), t.Until, false))
+	}
+	return f.Snapshot().Revision()
+}
+
+// adopt applies news and hands changed items to the decoding goroutine; it reports whether anything changed.
+func (f *Feed) adopt(at time.Time, n News) (bool, error) {
+	next, changed, err := f.Snapshot().WithNews(at, n)
+	if err != nil {
+		return false, err
+	}
+	f.copy.Store(&next)
+	if len(changed) == 0 {
+		return false, nil
+	}
+	select {
+	case f.batches <- batch{copy: next, items: changed}:
+	case <-f.ctx.Done():
+	}
+	return true, nil
+}
+
+// decode turns items into facts, in the order of their arrival.
+func (f *Feed) decode() {
+	for {
+		var b batch
+		select {
+		case <-f.ctx.Done():
+			return
+		case b = <-f.batches:
+		}
+		changes := make([]Change, 0, len(b.items))
+		for _, i := range b.items {
+			c := Change{Item: i}
+			if !i.Gone {
+				var err error
+				if c.Fact, err = f.s.Decode(i); err != nil {
+					f.failed("reading an item", err)
+				}
+			}
+			changes = append(changes, c)
+		}
+		f.post(func(now time.Time) { f.s.Changed(now, b.copy, changes) })
+	}
+}
+
+// Standing returns what the decision to read depends on; it runs on the control goroutine.
+func (f *Feed) Standing(now time.Time) Standing {
+	own := Member{Name: f.s.Name, Domain: f.s.Domain}
+	s := Standing{Age: f.Snapshot().Age(now), Heard: Unconfirmed}
+	for i, m := range Order(append(f.s.Members(now), own)) {
+		if m.Name == f.s.Name {
+			s.Rank = i
+			break
+		}
+	}
+	if !f.heard.IsZero() {
+		s.Heard = now.Sub(f.heard)
+	}
+	return s
+}
+
+func (f *Feed) onTick(now time.Time) {
+	if f.calling || now.Before(f.next) {
+		return
+	}
+	standing := f.Standing(now)
+	if !standing.MayRead() {
+		return
+	}
+	f.calling = true
+	switch {
+	case f.Snapshot().Revision() == 0:
+		f.read(true)
+	case f.whole:
+		f.read(false)
+	case standing.Age == Unconfirmed || standing.Age >= lateAfter:
+		f.watch(0)
+	default:
+		f.watch(watchWait)
+	}
+}
+
+// read gets the whole registry.
+func (f *Feed) read(cached bool) {
+	f.running.Go(func() {
+		ctx, cancel := context.WithTimeout(f.ctx, readTimeout)
+		defer cancel()
+		news, err := f.s.Source.Read(ctx, cached)
+		if cached {
+			news.Age = Unconfirmed
+		}
+		f.done("reading the registry", news, err)
+	})
+}
+
+// watch gets the changes since the revision held, and waits for one if there is none.
+func (f *Feed) watch(wait time.Duration) {
+	after := f.Snapshot().Revision()
+	f.running.Go(func() {
+		ctx, cancel := context.WithTimeout(f.ctx, wait+callTimeout)
+		defer cancel()
+		news, err := f.s.Source.Watch(ctx, after, wait)
+		f.done("watching the registry", news, err)
+	})
+}
+
+// done takes the outcome of a call and passes on what it brought.
+func (f *Feed) done(what string, news News, err error) {
+	at := f.s.Clock.Now()
+	f.post(func(now time.Time) {
+		f.calling = false
+		var gone GoneError
+		switch {
+		case errors.As(err, &gone):
+			f.whole = true
+			f.failed(what, err)
+			return
+		case err != nil:
+			f.next = now.Add(failPause)
+			f.failed(what, err)
+			return
+		}
+		f.whole = f.whole && news.After > 0
+		changed, err := f.adopt(at, news)
+		if err != nil {
+			f.whole = true
+			f.failed(what, err)
+			return
+		}
+		if changed {
+			f.next = now.Add(changePause)
+		}
+		if changed || (news.Age >= 0 && at.Sub(f.spread) >= confirmEvery) {
+			f.spread = at
+			f.pass(now, news.After, Errands(f.s.Name, f.s.Members(now), 0, true))
+		}
+	})
+}
+
+// pass sends what followed a revision along the ring; it runs on the control goroutine.
+func (f *Feed) pass(now time.Time, after int64, errands []Errand) {
+	held := f.Snapshot()
+	for _, e := range errands {
+		t := Telling{News: held.Since(now, after), Until: e.Until(), Last: len(e.Members) == 1}
+		f.running.Go(func() { f.tell(held, t, e.Members) })
+	}
+}
+
+// tell passes news on to the first of the members that answers.
+func (f *Feed) tell(held Copy, t Telling, members []Member) {
+	for _, m := range members {
+		err := f.tellOne(held, t, m)
+		if err == nil {
+			return
+		}
+		if f.ctx.Err() != nil {
+			return
+		}
+		f.failed("passing news on", err)
+	}
+}
+
+// tellOne passes news on to one member, and sends what it lacks if it is behind.
+func (f *Feed) tellOne(held Copy, t Telling, m Member) error {
+	ctx, cancel := context.WithTimeout(f.ctx, tellTimeout)
+	defer cancel()
+	revision, err := f.s.Tell(ctx, m.Control, t)
+	if err != nil {
+		return fmt.Errorf("registry: telling %s: %w", m.Name, err)
+	}
+	if revision >= t.News.After {
+		return nil
+	}
+	t.News = held.Since(f.s.Clock.Now(), revision)
+	if _, err := f.s.Tell(ctx, m.Control, t); err != nil {
+		return fmt.Errorf("registry: telling %s what it lacks: %w", m.Name, err)
+	}
+	return nil
+}
+
+func (f *Feed) failed(what string, err error) {
+	if f.s.Failed != nil && f.ctx.Err() == nil {
+		f.s.Failed(what, err)
+	}
+}
+
+func (f *Feed) post(run loop.Event) { _ = f.s.Loop.Post(f.ctx, run) }
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -10,11 +10,29 @@
 // Call is one attempt of a request on its way to a target.
 type Call struct {
 	// Request holds method, host, path, headers, body and the context that cancels the attempt.
-	Request  *http.Request
-	Route    string
-	Account  string        // empty on open routes
-	Key      config.Digest // digest of the caller's key; zero on open routes
-	Deadline time.Time     // until the head of the response has arrived
+	Request    *http.Request
+	Target     string // instance that the attempt is meant for
+	Route      string
+	Account    string        // empty on open routes
+	Key        config.Digest // digest of the caller's key; zero on open routes
+	Version    int64         // of the configuration that admitted the request
+	Rank       Rank
+	Idempotent bool
+	Deadline   time.Time // until the head of the response has arrived
+}
+
+// Rank is how urgent a request is: by its account first, then by its route. Lower ranks are served first.
+type Rank struct {
+	Account int
+	Route   int
+}
+
+// Before tells whether r is more urgent than o.
+func (r Rank) Before(o Rank) bool {
+	if r.Account != o.Account {
+		return r.Account < o.Account
+	}
+	return r.Route < o.Route
 }
 
 // Reply is the outcome of an attempt.
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -13,6 +13,11 @@
 
 // Server runs the attempts that the gate admits.
 type Server struct {
+	// Dialect is how the target talks; it must not change after the first attempt.
+	Dialect answer.Dialect
+	// Told is called with what the target says of itself in its responses.
+	Told func(answer.Report)
+
 	now  func() time.Time
 	tree func() (config.Tree, error)
 	// admit waits until the gate starts the ticket; the returned function reports the outcome.
@@ -29,7 +34,10 @@
 	load func() Load,
 	roundTrip func(*http.Request) (*http.Response, error),
 ) *Server {
-	return &Server{now: now, tree: tree, admit: admit, load: load, roundTrip: roundTrip}
+	return &Server{
+		Dialect: answer.Own(), Told: func(answer.Report) {},
+		now: now, tree: tree, admit: admit, load: load, roundTrip: roundTrip,
+	}
 }
 
 // Do admits and runs an attempt. Its error is an answer.Refusal; the response's body must be closed.
@@ -55,6 +63,11 @@
 	if err != nil {
 		return err
 	}
+	// The sender has checked the request against a newer version, which may hold routes and keys that this node has
+	// not heard of yet.
+	if c.Version > tree.Version() {
+		return nil
+	}
 	route, ok := tree.Route(c.Route)
 	if !ok {
 		return answer.NotRun(answer.Route, "the target's node has no such route")
@@ -81,15 +94,22 @@
 	out := c.Request.WithContext(ctx)
 	out.Header = c.Request.Header.Clone()
 	out.Header.Del("Expect") // the body was held back for the gate, which has now admitted it
-	out.Header.Set(answer.HeaderDeadline, strconv.FormatInt(max(0, c.Deadline.Sub(begun).Milliseconds()), 10))
+	out.Header.Set(s.Dialect.Deadline, strconv.FormatInt(max(0, c.Deadline.Sub(begun).Milliseconds()), 10))
+	if s.Dialect.Target != "" {
+		out.Header.Set(s.Dialect.Target, c.Target)
+	}
 	res, err := s.roundTrip(out)
+	if err == nil {
+		res, err = s.checked(c, res)
+	}
 	took := s.now().Sub(begun)
 	late := !timer.Stop() && errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 	if err != nil {
 		defer cancel(nil)
 		return nil, failed(c.Request.Context(), err, late, took, finish)
 	}
-	answer.StripInternal(res.Header)
+	s.Told(s.Dialect.Report(res.Header))
+	s.Dialect.Strip(res.Header)
 	kind := kindOf(res.StatusCode)
 	return readAhead(res, func() { cancel(nil) }, func(err error) {
 		outcome := Outcome{Kind: kind, Latency: took}
@@ -101,6 +121,32 @@
 	})
 }
 
+// ForeignError reports a response that does not belong to the request that it followed.
+type ForeignError struct{ Reason string }
+
+func (e ForeignError) Error() string { return "target: foreign response: " + e.Reason }
+
+// checked returns the response, or an error if it is no response to this request. The body of such a response is closed.
+func (s *Server) checked(c Call, res *http.Response) (*http.Response, error) {
+	d := s.Dialect
+	var err error
+	switch {
+	case res.StatusCode == http.StatusMisdirectedRequest && d.Target != "":
+		err = answer.NotRun(answer.Leaving, "another target has the address")
+	case d.NotRun(res):
+		err = answer.NotRun(answer.Busy, "the target did not run the request")
+	case d.Echo && res.Header.Get(d.ID) != c.Request.Header.Get(d.ID):
+		err = SendError{Err: ForeignError{Reason: "it has the id of another request"}, Wrote: true}
+	case d.Stamp != "" && res.StatusCode < http.StatusMultipleChoices && res.Header.Get(d.Stamp) == "":
+		err = SendError{Err: ForeignError{Reason: "it lacks the mark of the target"}, Wrote: true}
+	default:
+		return res, nil
+	}
+	s.Told(d.Report(res.Header))
+	_ = res.Body.Close()
+	return nil, err
+}
+
 // failed reports an attempt without response to the gate and returns the refusal.
 func failed(ctx context.Context, err error, late bool, took time.Duration, finish func(Outcome)) error {
 	var sent SendError
@@ -109,7 +155,11 @@
 	}
 	outcome := Outcome{Kind: Lost, Latency: took}
 	defer func() { finish(outcome) }()
+	var refused answer.Refusal
 	switch {
+	case errors.As(err, &refused):
+		outcome.Kind = Shed
+		return refused
 	case ctx.Err() != nil:
 		outcome.Kind = Cancelled
 	case late:
