--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -36,6 +36,9 @@
 			Request: body.next(q.Request), Route: q.route.Name, Account: q.account, Key: q.key, Version: q.version,
 			Rank: q.rank, Idempotent: q.route.Idempotent, Deadline: deadline,
 		}
+		if q.route.Aim > 0 {
+			call.Aim = q.begun.Add(q.route.Aim)
+		}
 		if len(tried) > 0 {
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
 		}
@@ -178,6 +181,9 @@
 	if target.IsEmpty(r) {
 		return replay{}, nil
 	}
+	if held, ok := r.Body.(*heldBody); ok {
+		return replay{held: held.data}, nil
+	}
 	if r.ContentLength < 0 || r.ContentLength > replaySize || r.Header.Get("Expect") != "" {
 		return replay{stream: &stream{source: r.Body}}, nil
 	}
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"log"
 	"net"
 	"net/http"
@@ -12,7 +13,9 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"verbenapin.dev/node/answer"
@@ -27,6 +30,9 @@
 	// readHeadBytes is what the library reads before it cuts the connection with a refusal of its own.
 	readHeadBytes = 4 * maxHeadBytes
 	maxID         = 64
+	// Pauses after a connection could not be accepted, for example for want of descriptors.
+	firstAcceptPause = 5 * time.Millisecond
+	lastAcceptPause  = time.Second
 )
 
 // Tries is one request's way through the targets of its service.
@@ -85,13 +91,22 @@
 	// Origin returns the service beside this node, which targets are told where the dialect asks for it.
 	Origin func() string
 
-	http    *http.Server
 	now     func() time.Time
 	tree    func() (config.Tree, error)
 	spend   func(ctx context.Context, account string) (Pass, error)
 	tries   Tries
 	events  Events
+	faults  *log.Logger
 	leaving atomic.Bool
+
+	second  *second // serves HTTP/2
+	closing chan struct{}
+	once    sync.Once
+	running sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]bool
 }
 
 // Pass is one request taken from the allowance of an account.
@@ -118,39 +133,152 @@
 ) *Server {
 	s := &Server{
 		Dialect: answer.Own(), Origin: func() string { return "" },
-		now: now, tree: tree, spend: spend, tries: tries, events: events,
-	}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	s.http = &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
-		Protocols:         protocols,
-		ErrorLog:          faults,
-		ReadHeaderTimeout: headTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    readHeadBytes,
+		now: now, tree: tree, spend: spend, tries: tries, events: events, faults: faults,
+		closing: make(chan struct{}), conns: map[*conn]bool{},
 	}
+	s.second = newSecond(http.HandlerFunc(s.serve), faults)
 	return s
 }
 
 // Serve accepts connections on l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
+	if !s.add(l) {
 		return nil
 	}
-	return err
+	defer s.second.start()()
+	pause := time.Duration(0)
+	for {
+		raw, err := l.Accept()
+		switch {
+		case err == nil:
+			pause = 0
+			s.accept(raw)
+		case s.isClosed():
+			return nil
+		case isTemporary(err):
+			pause = min(max(2*pause, firstAcceptPause), lastAcceptPause)
+			s.faults.Printf("caller: accepting a connection: %v", err)
+			s.wait(pause)
+		default:
+			return fmt.Errorf("caller: accepting a connection: %w", err)
+		}
+	}
+}
+
+// isTemporary tells whether a later connection may be accepted, for example once descriptors are free.
+func isTemporary(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
+
+// wait returns after the given time or when the server closes.
+func (s *Server) wait(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.closing:
+	}
+}
+
+// add registers a listener unless the server is closed.
+func (s *Server) add(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isClosed() {
+		return false
+	}
+	s.listener = l
+	return true
+}
+
+func (s *Server) isClosed() bool {
+	select {
+	case <-s.closing:
+		return true
+	default:
+		return false
+	}
+}
+
+// accept serves a connection on its own goroutine.
+func (s *Server) accept(raw net.Conn) {
+	c := newConn(s, raw)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isClosed() {
+		_ = raw.Close()
+		return
+	}
+	s.conns[c] = true
+	s.running.Go(func() {
+		c.serve()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
+}
+
+// idle returns how long a connection may wait for a request.
+func (s *Server) idle() time.Duration { return positive(s.bounds().Idle, idleTimeout) }
+
+// headWait returns how long a caller may take for a request head.
+func (s *Server) headWait() time.Duration { return positive(s.bounds().Wait, headTimeout) }
+
+// bounds returns what callers may send, also while no configuration is in force.
+func (s *Server) bounds() config.Client {
+	tree, err := s.tree()
+	if err != nil {
+		return config.Client{}
+	}
+	return tree.Fleet().Client
+}
+
+func positive(d, otherwise time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return otherwise
 }
 
 // Leave makes every response ask its caller to close the connection; requests are still answered.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Shutdown waits for running requests until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Shutdown accepts no further connections, closes those without a request, and waits for running requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.shut(false)
+	ended := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(ended)
+	}()
+	err := s.second.http.Shutdown(ctx)
+	select {
+	case <-ended:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("caller: waiting for running requests: %w", ctx.Err())
+	}
+}
+
+// Close ends all connections and waits for them.
+func (s *Server) Close() {
+	s.shut(true)
+	_ = s.second.http.Close()
+	s.running.Wait()
+}
 
-// Close ends all connections.
-func (s *Server) Close() { _ = s.http.Close() }
+// shut closes the listener and the connections, those with running requests only if now is set.
+func (s *Server) shut(now bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.once.Do(func() { close(s.closing) })
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for c := range s.conns {
+		c.close(now)
+	}
+}
 
 // request is one caller's request with what was found out about it.
 type request struct {
--- a/node/daemon/listen.go
+++ b/node/daemon/listen.go
@@ -7,7 +7,10 @@
 	"syscall"
 )
 
-type listeners struct{ caller, peer, control, admin, ready net.Listener }
+type listeners struct {
+	caller, peer, control, admin, ready net.Listener
+	notices                             *net.UDPConn
+}
 
 func (n *Node) listen() error {
 	for _, l := range []struct {
@@ -30,6 +33,14 @@
 		}
 		*l.to = opened
 	}
+	if n.settings.Fed {
+		// Notices have the same port as requests between nodes, so that a node is known by one address.
+		opened, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(n.settings.Peer))
+		if err != nil {
+			return UnusableError{Flag: "--peer", Err: err, Todo: todoOf(err)}
+		}
+		n.listeners.notices = opened
+	}
 	return nil
 }
 
@@ -52,6 +63,9 @@
 			_ = l.Close()
 		}
 	}
+	if n.listeners.notices != nil {
+		_ = n.listeners.notices.Close()
+	}
 }
 
 // CallerAddress returns the address on which callers are accepted.
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -67,7 +67,8 @@
 	peers     *peer.Server
 	control   *grpc.Server
 	operators *operator.Server
-	readiness *readiness // nil without a listener of its own
+	readiness *readiness    // nil without a listener of its own
+	notices   *peer.Notices // nil unless connections between nodes are plain
 	listeners listeners
 	ticks     []*clock.Subscription
 	leaving   chan struct{}
--- a/node/daemon/probe.go
+++ b/node/daemon/probe.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
+
+	"verbenapin.dev/node/target"
 )
 
 func (n *Node) probeBudget() float64 {
@@ -21,25 +22,25 @@
 // probePath is where targets answer probes.
 const probePath = "/probe"
 
-func (n *Node) probe(ctx context.Context) (time.Duration, error) {
+func (n *Node) probe(ctx context.Context) (target.Probed, error) {
 	path := probePath
 	if stated := n.store.Snapshot().Tree().Service(n.settings.Service).Probe; stated != "" {
 		path = stated
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.settings.Target.JoinPath(path).String(), nil)
 	if err != nil {
-		return 0, fmt.Errorf("daemon: making a probe: %w", err)
+		return target.Probed{}, fmt.Errorf("daemon: making a probe: %w", err)
 	}
 	begun := n.clock.Now()
 	res, err := n.transport.RoundTrip(r)
 	if err != nil {
 		n.metrics.Probed("lost")
-		return n.clock.Now().Sub(begun), err
+		return target.Probed{Cost: n.clock.Now().Sub(begun)}, err
 	}
 	n.metrics.Probed(probeResult(res.StatusCode))
 	_, _ = io.Copy(io.Discard, res.Body)
 	_ = res.Body.Close()
-	return n.clock.Now().Sub(begun), nil
+	return target.Probed{Cost: n.clock.Now().Sub(begun), Report: n.gate.Dialect.Report(res.Header)}, nil
 }
 
 func probeResult(status int) string {
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -13,8 +13,10 @@
 	"verbenapin.dev/node/config"
 	"verbenapin.dev/node/instance"
 	"verbenapin.dev/node/journal"
+	"verbenapin.dev/node/peer"
 	"verbenapin.dev/node/registry"
 	registryrpc "verbenapin.dev/node/registry/rpc"
+	"verbenapin.dev/node/target"
 )
 
 // Platform holds what a node takes from the platform that it runs on, in place of the product's own services.
@@ -134,7 +136,9 @@
 	n.limiter.SetHomes(now, tree, homes)
 	row, ok := n.ownTarget()
 	if ok {
-		n.admission.SetSlots(now, row.Slots)
+		n.admission.SetIdentity(now, target.Identity{
+			Name: row.Name, Born: row.Born, Slots: row.Slots, Rate: tree.Service(row.Service).Pace,
+		})
 	}
 	n.admission.SetLeavingNow(now, n.isLeaving() || (ok && row.State == instance.Leaving))
 	n.admission.SetOut(now, slices.Contains(n.facts.out(), n.settings.Domain))
@@ -156,4 +160,11 @@
 func (n *Node) speak(d answer.Dialect) {
 	n.callers.Dialect, n.callers.Origin = d, func() string { return n.settings.Service }
 	n.gate.Dialect, n.peers.Dialect = d, d
+	n.gate.Told = n.admission.Told
+	n.dispatcher.Move = true
+	n.client.From = n.settings.Name
+	n.notices = peer.NewNotices(n.listeners.notices, n.loop, n.clock, n.boot, n.admission.Target, n.dispatcher.Notice,
+		func(err error) { n.failed("exchanging notices", err) })
+	n.peers.Sent = n.notices.Sent
+	n.admission.OnChange(n.notices.Consider)
 }
--- a/node/daemon/shutdown.go
+++ b/node/daemon/shutdown.go
@@ -58,6 +58,9 @@
 		n.peers.Close()
 		n.control.Stop()
 	}
+	if n.notices != nil {
+		n.notices.Close()
+	}
 	n.dispatcher.Close()
 	n.admission.Close()
 	n.limiter.Close()
--- a/node/peer/board.go
+++ b/node/peer/board.go
@@ -27,18 +27,24 @@
 	exploreOne = 8               // one in so many choices that meet an unknown target tries it
 	jitter     = 0.1             // scores vary by this share, so that senders with the same news choose differently
 	leavingFor = 5 * time.Second // a leaving mark is checked again then, in case a new process took the name
-	firstTrip  = 200 * time.Microsecond
-	farTrip    = 2 * time.Millisecond // there and back to another failure domain
-	firstTime  = 10 * time.Millisecond
-	tripWeight = 8
-	buckets    = 64 // an event copies the list of buckets and one bucket
+	noticedFor = 2 * noticeEvery // a report is fresh while notices arrive, of which one may be lost
+	// Three notices in a row are lost only when something is wrong with the node or the way to it.
+	silentAfter = 3 * noticeEvery
+	silentCost  = 2 * time.Second // such a target comes after all others
+	slowWait    = 1.5             // pace from which a gate lets requests wait until the target is fast again
+	firstTrip   = 200 * time.Microsecond
+	farTrip     = 2 * time.Millisecond // there and back to another failure domain
+	firstTime   = 10 * time.Millisecond
+	tripWeight  = 8
+	buckets     = 64 // an event copies the list of buckets and one bucket
 )
 
 // Candidate is an instance whose target serves the route.
 type Candidate struct {
 	Name   string
 	Domain string
-	Node   string // node beside the target, empty if it has the name of the instance
+	Node   string        // node beside the target, empty if it has the name of the instance
+	Extra  time.Duration // what else speaks against it, as a time
 }
 
 // Host returns the name of the node beside the target.
@@ -82,6 +88,10 @@
 	lost        bool
 	backoff     time.Duration
 	avoid       time.Time // no new request before this time
+	sent        time.Time // last request
+	noticed     time.Time // last notice of its gate, zero if there was none
+	boot        uint32    // of the gate's node, as of the last notice
+	number      uint32    // of the last notice
 	left        time.Time // last time at which the target was known to leave
 }
 
@@ -135,9 +145,9 @@
 }
 
 // WithSent returns the board after a request was sent; exactly one WithDone follows.
-func (b Board) WithSent(_ time.Time, c Candidate) Board {
+func (b Board) WithSent(now time.Time, c Candidate) Board {
 	e := b.get(c.Name)
-	e.domain = c.Domain
+	e.domain, e.sent = c.Domain, now
 	e.outstanding++
 	b.sent++
 	return b.with(e)
@@ -170,6 +180,21 @@
 	return b.withMeans(l).with(e)
 }
 
+// WithNotice returns the board after a gate reported without a request. Notices of targets that get no requests are of no
+// use, and datagrams may arrive twice or late.
+func (b Board) WithNotice(now time.Time, n Notice) Board {
+	old := b.find(n.Target)
+	if old == nil || (old.boot == n.Boot && int32(n.Number-old.number) <= 0) {
+		return b
+	}
+	e := old.withReport(now, n.Load)
+	e.noticed, e.boot, e.number = now, n.Boot, n.Number
+	if !n.Load.Down && e.load.Queued == 0 {
+		e.avoid = time.Time{}
+	}
+	return b.with(e)
+}
+
 // WithLost returns the board after a target's node refused the connection or the connection broke.
 func (b Board) WithLost(now time.Time, name string) Board {
 	e := b.get(name)
@@ -269,11 +294,24 @@
 	case !e.known:
 		ok := e.outstanding == 0 && !now.Before(e.avoid)
 		return ok, ok, Unknown
+	case e.load.Down && e.live(now):
+		return false, false, Unknown
 	default:
 		return true, false, Least
 	}
 }
 
+// live tells whether the gate's notices keep the report fresh.
+func (e *entry) live(now time.Time) bool {
+	return !e.noticed.IsZero() && now.Sub(e.noticed) < noticedFor
+}
+
+// silent tells whether notices stay out although this node has sent requests lately, so that the gate's node may be paused
+// or cut off.
+func (e *entry) silent(now time.Time) bool {
+	return !e.noticed.IsZero() && now.Sub(e.noticed) >= silentAfter && e.sent.Sub(e.noticed) > -listenFor/2
+}
+
 // cost returns the expected time of a request at the target, and its expected wait in the queue.
 func (b *Board) cost(now time.Time, c Candidate, own string) (score, wait time.Duration) {
 	service := b.service
@@ -288,11 +326,14 @@
 		ahead = float64(e.outstanding)
 	default:
 		limit = float64(max(e.load.Limit, 1))
-		if e.load.Service > 0 {
-			service = e.load.Service
-		}
 		age := now.Sub(e.reported)
 		fresh := math.Exp(-float64(age) / float64(reportFor))
+		if e.live(now) {
+			fresh = 1
+		}
+		if e.load.Service > 0 {
+			service = time.Duration(float64(e.load.Service) * paceOf(e.load, fresh))
+		}
 		ahead = float64(e.outstanding) + float64(e.others)*fresh + b.use*limit*(1-fresh)
 		failing = e.load.Failing * math.Exp2(-float64(age)/float64(failingFor))
 	}
@@ -301,7 +342,12 @@
 		service = max(service, b.service)
 	}
 	wait = time.Duration(max(ahead+1-limit, 0) / limit * float64(service))
-	score = time.Duration((ahead+ownWeight)/limit*float64(service)) + time.Duration(failing*float64(failingCost)) + b.Trip(c.Domain, own)
+	score = time.Duration((ahead+ownWeight)/limit*float64(service)) + time.Duration(failing*float64(failingCost))
+	if e == nil || !e.tells() {
+		score += b.Trip(c.Domain, own) + c.Extra
+	} else if e.load.Pace >= slowWait && wait == 0 {
+		wait = time.Duration(float64(service) - float64(service)/e.load.Pace)
+	}
 	if e != nil && e.avoid.After(now) {
 		wait = max(wait, e.avoid.Sub(now))
 		score += e.avoid.Sub(now)
@@ -309,6 +355,55 @@
 	return score, wait
 }
 
+// tells tells whether the target tells its pace, or its gate reports without requests.
+func (e *entry) tells() bool { return e.known && (e.load.Pace > 0 || !e.noticed.IsZero()) }
+
+// fixed returns the part of a target's cost that does not depend on its load: the time of the request itself, which differs
+// between targets that tell their pace, and the way. Targets of this kind are all compared, so that the least part decides.
+func (b *Board) fixed(now time.Time, c Candidate, own string) time.Duration {
+	e := b.find(c.Name)
+	if e == nil || !e.tells() {
+		return 0
+	}
+	cost := b.Trip(c.Domain, own) + c.Extra
+	if e.load.Service > 0 {
+		fresh := 0.0
+		if e.live(now) {
+			fresh = 1
+		}
+		cost += time.Duration(float64(e.load.Service) * paceOf(e.load, fresh))
+	}
+	if e.silent(now) {
+		cost += silentCost
+	}
+	return cost
+}
+
+// withLive adds the usable candidates whose reports are kept fresh to a sample. Where all is known, the sample would only
+// hide the best ones.
+func (b *Board) withLive(now time.Time, list []int, candidates []Candidate, out, tried []string) []int {
+	sampled := len(list)
+	for i := range candidates {
+		e := b.find(candidates[i].Name)
+		if e == nil || !e.live(now) || slices.Contains(list[:sampled], i) {
+			continue
+		}
+		if b.excluded(now, &candidates[i], out, tried) == "" {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// paceOf returns the time that work is expected to take at a target as a multiple of the usual one. The pace shifts within
+// a fraction of a second, so an old report says nothing.
+func paceOf(l target.Load, fresh float64) float64 {
+	if l.Pace <= 0 || l.Mean <= 0 {
+		return 1
+	}
+	return l.Mean + (l.Pace-l.Mean)*fresh
+}
+
 // Choose returns the target of the next attempt: the best of two of the own failure domain and one of another.
 func (b Board) Choose(now time.Time, r *rand.Rand, candidates []Candidate, own string, out, tried []string) (Choice, bool) {
 	var near, far [3]int // reservoir samples
@@ -338,6 +433,7 @@
 	if nearSeen > 0 && farSeen > 0 {
 		list = list[:min(nearSeen, 2)+1]
 	}
+	list = b.withLive(now, list, candidates, out, tried)
 	best, bestScore, bestWait := -1, time.Duration(0), time.Duration(0)
 	for _, i := range list {
 		c := candidates[i]
@@ -345,7 +441,7 @@
 		if _, explore, _ := b.state(now, c.Name); explore && r.IntN(exploreOne) == 0 {
 			return Choice{Name: c.Name, Reason: Explore, Wait: wait}, true
 		}
-		score = time.Duration(float64(score) * (1 + jitter*(2*r.Float64()-1)))
+		score = time.Duration(float64(score)*(1+jitter*(2*r.Float64()-1))) + b.fixed(now, c, own)
 		if best < 0 || score < bestScore {
 			best, bestScore, bestWait = i, score, wait
 		}
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -35,6 +35,9 @@
 
 // Client sends requests to other nodes; it never repeats one by itself.
 type Client struct {
+	// From is the name of this node, under which it gets notices; empty for none.
+	From string
+
 	http   *http.Transport
 	scheme string
 	now    func() time.Time
@@ -90,6 +93,9 @@
 		RawQuery: call.Request.URL.RawQuery, ForceQuery: call.Request.URL.ForceQuery,
 	}
 	encode(out.Header, call, c.now())
+	if c.From != "" {
+		out.Header.Set(answer.HeaderFrom, c.From)
+	}
 	target.PreventResend(out)
 	res, err := c.http.RoundTrip(out)
 	if err != nil {
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,13 @@
 	"verbenapin.dev/node/target"
 )
 
+const (
+	// bulkFar is the time by which a target of another failure domain must be better for a large response.
+	bulkFar = 300 * time.Millisecond
+	// maxMoves bounds the targets that may send a request on because another one may start it at once.
+	maxMoves = 2
+)
+
 // deadlineGrace lets the gate's own answer to a passed deadline arrive, which says whether the request ran.
 const deadlineGrace = 20 * time.Millisecond
 
@@ -41,6 +49,9 @@
 	// function is called with the outcome, a LoserError for an attempt that lost a race. Nil observes nothing.
 	Observe func(ctx context.Context, route string, h http.Header, a Attempt) (context.Context, func(target.Reply, error))
 
+	// Move lets targets that can't start a request at once send it on; it must not change after the first request.
+	Move bool
+
 	self       Self
 	loop       *loop.Loop
 	choose     Selector
@@ -86,6 +97,8 @@
 		return nil, target.Reply{Stages: stages}, err
 	}
 	attempt := Attempt{Number: len(tried) + 1, Choice: choice}
+	// A request for which a wait is expected everywhere waits at the target where that is shortest.
+	call.Move = d.Move && choice.Wait == 0 && len(tried) < maxMoves
 	first := leg{name: choice.Name, host: host, call: call, attempt: attempt, measured: route.Hedge > 0 && len(tried) == 0}
 	var names []string
 	var reply target.Reply
@@ -102,7 +115,7 @@
 // pick chooses a target and counts the attempt as outstanding there. It also returns the target's node and the time after which to send a
 // second attempt, zero for none.
 func (d *Dispatcher) pick(ctx context.Context, route config.Route, tried []string) (Choice, string, time.Duration, error) {
-	candidates, out := d.candidates(route.Service), d.out()
+	candidates, out := d.reachable(route), d.out()
 	var choice Choice
 	var host string
 	var after time.Duration
@@ -132,6 +145,25 @@
 	return choice, host, after, nil
 }
 
+// reachable returns the candidates for a route. The bytes of large responses are charged where they cross the border of a
+// failure domain, so that targets of other domains get such requests only when those of the own one are far behind.
+func (d *Dispatcher) reachable(route config.Route) []Candidate {
+	candidates := d.candidates(route.Service)
+	if !route.Bulk {
+		return candidates
+	}
+	candidates = slices.Clone(candidates)
+	for i := range candidates {
+		if candidates[i].Domain != d.self.Domain {
+			candidates[i].Extra = bulkFar
+		}
+	}
+	return candidates
+}
+
+// Notice adopts the report of a gate that came without a request; it runs on the control goroutine.
+func (d *Dispatcher) Notice(now time.Time, n Notice) { d.board = d.board.WithNotice(now, n) }
+
 // sent counts an attempt as outstanding and returns the target's node; it runs on the control goroutine.
 func (d *Dispatcher) sent(now time.Time, candidates []Candidate, choice Choice) string {
 	host := choice.Name
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -28,7 +28,13 @@
 	if c.Idempotent {
 		h.Set(answer.HeaderRepeats, "yes")
 	}
-	h.Set(answer.HeaderDeadline, strconv.FormatFloat(float64(c.Deadline.Sub(now))/float64(time.Millisecond), 'f', 3, 64))
+	if c.Move {
+		h.Set(answer.HeaderMove, "yes")
+	}
+	h.Set(answer.HeaderDeadline, milliseconds(c.Deadline.Sub(now)))
+	if !c.Aim.IsZero() {
+		h.Set(answer.HeaderAim, milliseconds(c.Aim.Sub(now)))
+	}
 	if c.Account != "" {
 		h.Set(answer.HeaderAccount, c.Account)
 		h.Set(answer.HeaderKey, hex.EncodeToString(c.Key[:]))
@@ -43,19 +49,23 @@
 	h := r.Header
 	c := target.Call{
 		Request: r, Route: h.Get(answer.HeaderRoute), Account: h.Get(answer.HeaderAccount), Target: h.Get(answer.HeaderFor),
-		Idempotent: h.Get(answer.HeaderRepeats) != "",
+		Idempotent: h.Get(answer.HeaderRepeats) != "", Move: h.Get(answer.HeaderMove) != "",
 	}
 	if c.Route == "" {
 		return target.Call{}, MessageError{Header: answer.HeaderRoute}
 	}
-	ms, err := strconv.ParseFloat(h.Get(answer.HeaderDeadline), 64)
-	if err != nil || !(ms >= -maxDeadlineMS && ms <= maxDeadlineMS) {
-		return target.Call{}, MessageError{Header: answer.HeaderDeadline, Value: h.Get(answer.HeaderDeadline)}
+	var err error
+	if c.Deadline, err = decodeTime(h, answer.HeaderDeadline, now); err != nil {
+		return target.Call{}, err
+	}
+	if h.Get(answer.HeaderAim) != "" {
+		if c.Aim, err = decodeTime(h, answer.HeaderAim, now); err != nil {
+			return target.Call{}, err
+		}
 	}
 	if err := decodeControl(h, &c); err != nil {
 		return target.Call{}, err
 	}
-	c.Deadline = now.Add(time.Duration(ms * float64(time.Millisecond)))
 	if c.Account != "" {
 		key, err := hex.DecodeString(h.Get(answer.HeaderKey))
 		if err != nil || len(key) != len(config.Digest{}) {
@@ -70,6 +80,19 @@
 	return c, nil
 }
 
+func milliseconds(d time.Duration) string {
+	return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 3, 64)
+}
+
+// decodeTime reads a time that is given in milliseconds from now.
+func decodeTime(h http.Header, name string, now time.Time) (time.Time, error) {
+	ms, err := strconv.ParseFloat(h.Get(name), 64)
+	if err != nil || !(ms >= -maxDeadlineMS && ms <= maxDeadlineMS) {
+		return time.Time{}, MessageError{Header: name, Value: h.Get(name)}
+	}
+	return now.Add(time.Duration(ms * float64(time.Millisecond))), nil
+}
+
 // decodeControl reads the version and the ranks; nodes of an earlier release send neither.
 func decodeControl(h http.Header, c *target.Call) error {
 	var err error
--- /dev/null
+++ b/node/peer/notice.go
@@ -0,0 +1,187 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"verbenapin.dev/node/clock"
+	"verbenapin.dev/node/loop"
+	"verbenapin.dev/node/peer/pb"
+	"verbenapin.dev/node/target"
+)
+
+const (
+	maxNotice = 512 // bytes of a datagram
+	// noticeQueue bounds the notices that wait to be sent; further ones are dropped, since newer ones follow.
+	noticeQueue = 64
+	percent     = 100
+)
+
+// Notice is a report of a gate that came without a request.
+type Notice struct {
+	Target string
+	Boot   uint32
+	Number uint32
+	Load   target.Load
+}
+
+// NoticeError reports a datagram that is no notice.
+type NoticeError struct{ Reason string }
+
+func (e NoticeError) Error() string { return "peer: bad notice: " + e.Reason }
+
+func (n Notice) encode() ([]byte, error) {
+	l := n.Load
+	data, err := proto.Marshal(&pb.Notice{
+		Target: n.Target, Boot: n.Boot, Number: n.Number, Running: uint32(l.Running), Queued: uint32(l.Queued),
+		Limit: uint32(l.Limit), Service: uint32(l.Service.Microseconds()), Pace: uint32(l.Pace * percent),
+		Mean: uint32(l.Mean * percent), Failing: uint32(l.Failing * percent), Leaving: l.Leaving, Down: l.Down,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("peer: encoding a notice: %w", err)
+	}
+	return data, nil
+}
+
+func decodeNotice(data []byte) (Notice, error) {
+	var m pb.Notice
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return Notice{}, fmt.Errorf("peer: decoding a notice: %w", err)
+	}
+	if m.GetTarget() == "" || m.GetLimit() == 0 {
+		return Notice{}, NoticeError{Reason: "no target or no limit"}
+	}
+	return Notice{Target: m.GetTarget(), Boot: m.GetBoot(), Number: m.GetNumber(), Load: target.Load{
+		Running: int(m.GetRunning()), Queued: int(m.GetQueued()), Limit: int(m.GetLimit()),
+		Service: time.Duration(m.GetService()) * time.Microsecond, Pace: float64(m.GetPace()) / percent,
+		Mean: float64(m.GetMean()) / percent, Failing: float64(m.GetFailing()) / percent,
+		Leaving: m.GetLeaving(), Down: m.GetDown(),
+	}}, nil
+}
+
+// outgoing is a notice with its receivers.
+type outgoing struct {
+	data []byte
+	to   []string
+}
+
+// Notices exchanges notices with other nodes over UDP. They are not authenticated, so they are for closed networks.
+type Notices struct {
+	socket  *net.UDPConn
+	loop    *loop.Loop
+	boot    uint32
+	current func() (name string, l target.Load)
+	heard   func(now time.Time, n Notice)
+	faults  func(error)
+	tick    *clock.Subscription
+	queue   chan outgoing
+	ended   chan struct{}
+	running sync.WaitGroup
+
+	// Owned by the control goroutine.
+	audience Audience
+	number   uint32
+}
+
+// NewNotices returns the exchange on a socket. current returns the target beside this node and what its gate reports;
+// heard is called on the control goroutine with each notice of another node.
+func NewNotices(
+	socket *net.UDPConn, l *loop.Loop, c *clock.Clock, boot uint32,
+	current func() (string, target.Load), heard func(now time.Time, n Notice), faults func(error),
+) *Notices {
+	n := &Notices{
+		socket: socket, loop: l, boot: boot, current: current, heard: heard, faults: faults,
+		queue: make(chan outgoing, noticeQueue), ended: make(chan struct{}),
+	}
+	n.running.Go(n.receive)
+	n.running.Go(n.send)
+	n.tick = c.Subscribe(noticeEvery, func(time.Time) { _ = l.Post(context.Background(), n.Consider) })
+	return n
+}
+
+// Sent notes that a node sent a request to the target beside this node; any goroutine may call it.
+func (n *Notices) Sent(node string) {
+	_ = n.loop.Post(context.Background(), func(now time.Time) {
+		var fresh bool
+		n.audience, fresh = n.audience.WithSender(now, node)
+		if fresh {
+			n.Consider(now)
+		}
+	})
+}
+
+// Consider sends a notice if the report of the gate is worth one; it runs on the control goroutine.
+func (n *Notices) Consider(now time.Time) {
+	name, load := n.current()
+	if name == "" {
+		return
+	}
+	var to []string
+	n.audience, to = n.audience.WithLoad(now, load)
+	if len(to) == 0 {
+		return
+	}
+	n.number++
+	data, err := Notice{Target: name, Boot: n.boot, Number: n.number, Load: load}.encode()
+	if err != nil {
+		n.faults(err)
+		return
+	}
+	select {
+	case n.queue <- outgoing{data: data, to: to}:
+	default: // the next notice replaces this one
+	}
+}
+
+func (n *Notices) send() {
+	for {
+		select {
+		case <-n.ended:
+			return
+		case out := <-n.queue:
+			for _, node := range out.to {
+				addr, err := netip.ParseAddrPort(node)
+				if err == nil {
+					_, err = n.socket.WriteToUDPAddrPort(out.data, addr)
+				}
+				if err != nil && !errors.Is(err, net.ErrClosed) {
+					n.faults(fmt.Errorf("peer: sending a notice to %s: %w", node, err))
+				}
+			}
+		}
+	}
+}
+
+func (n *Notices) receive() {
+	buf := make([]byte, maxNotice)
+	for {
+		size, err := n.socket.Read(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // a datagram that could not be delivered is reported on the next read
+		}
+		notice, err := decodeNotice(buf[:size])
+		if err != nil {
+			n.faults(err)
+			continue
+		}
+		_ = n.loop.Post(context.Background(), func(now time.Time) { n.heard(now, notice) })
+	}
+}
+
+// Close ends the exchange and waits for it.
+func (n *Notices) Close() {
+	n.tick.Close()
+	close(n.ended)
+	_ = n.socket.Close()
+	n.running.Wait()
+}
--- a/node/peer/race.go
+++ b/node/peer/race.go
@@ -127,7 +127,7 @@
 // pickHedge chooses the target of a second attempt if the budget allows one. A target at which it would wait gets none:
 // it would delay the first attempts of other requests there.
 func (d *Dispatcher) pickHedge(route config.Route, first string) (Choice, string, bool) {
-	candidates, out := d.candidates(route.Service), d.out()
+	candidates, out := d.reachable(route), d.out()
 	var choice Choice
 	var host string
 	found := false
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -23,6 +23,8 @@
 type Server struct {
 	// Dialect is how targets talk; it must not change after Serve.
 	Dialect answer.Dialect
+	// Sent is called with the name of the node that sent a request, if it told one.
+	Sent func(node string)
 
 	http *http.Server
 	now  func() time.Time
@@ -35,7 +37,7 @@
 func NewServer(
 	now func() time.Time, cfg *tls.Config, do func(target.Call) (target.Reply, error), load func() target.Load, faults *log.Logger,
 ) *Server {
-	s := &Server{Dialect: answer.Own(), now: now, do: do, load: load}
+	s := &Server{Dialect: answer.Own(), Sent: func(string) {}, now: now, do: do, load: load}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	s.http = &http.Server{
@@ -71,6 +73,9 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	begun := s.now()
+	if from := r.Header.Get(answer.HeaderFrom); from != "" {
+		s.Sent(from)
+	}
 	call, err := decode(r, begun)
 	if err != nil {
 		s.refuse(w, answer.NotRun(answer.Path, err.Error()), 0)
--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -11,8 +11,14 @@
 	"verbenapin.dev/node/loop"
 )
 
-// probeTick is the period in which a probe is considered; the budget decides.
-const probeTick = 200 * time.Millisecond
+// probeTick is the period in which a probe is considered.
+const probeTick = 50 * time.Millisecond
+
+// Probed is the outcome of a probe.
+type Probed struct {
+	Cost   time.Duration // time that it took of the target
+	Report answer.Report
+}
 
 // Admission holds the gate on the control goroutine and lets traffic goroutines wait for its verdicts.
 type Admission struct {
@@ -25,19 +31,21 @@
 	due     time.Time // earliest timer, zero if none is set
 	probe   ProbeState
 	load    atomic.Pointer[Load]
+	changed func(now time.Time) // called after each change of the report, may be nil
 	probes  *clock.Subscription
 	begun   time.Time
 	probing atomic.Int64 // nanoseconds of the target's time that probes took
+	told    atomic.Bool  // the target tells of itself
 }
 
 // NewAdmission returns the admission to the target beside this node. arrive decides on a new ticket, usually
-// Gate.WithArrival. sendProbe sends a probe and returns the time that it took of the target, or an error.
+// Gate.WithArrival. sendProbe sends a probe; its error means that the target did not answer.
 func NewAdmission(
 	l *loop.Loop,
 	c *clock.Clock,
 	arrive func(g Gate, now time.Time, t Ticket) (Gate, Verdict),
 	budget func() float64,
-	sendProbe func(ctx context.Context) (time.Duration, error),
+	sendProbe func(ctx context.Context) (Probed, error),
 ) *Admission {
 	a := &Admission{
 		loop: l, clock: c, arrive: arrive,
@@ -144,6 +152,31 @@
 	a.settle(now, nil)
 }
 
+// SetIdentity adopts what the platform states of the target; it runs on the control goroutine.
+func (a *Admission) SetIdentity(now time.Time, i Identity) {
+	a.gate = a.gate.WithIdentity(i)
+	a.told.Store(a.gate.IsTold())
+	a.settle(now, nil)
+}
+
+// Told adopts what the target told of itself with a response.
+func (a *Admission) Told(r answer.Report) {
+	if r.Told {
+		_ = a.loop.Post(context.Background(), func(now time.Time) {
+			a.probe = a.probe.WithResponse(now)
+			a.report(now, r, false)
+		})
+	}
+}
+
+// report adopts what the target told; waiting requests may start if it is fast again.
+func (a *Admission) report(now time.Time, r answer.Report, asked bool) {
+	var more []Verdict
+	a.gate = a.gate.WithReport(now, r, asked)
+	a.gate, more = a.gate.WithTick(now)
+	a.settle(now, more)
+}
+
 // settle hands out verdicts, publishes the report and sets the timer of the queue.
 func (a *Admission) settle(now time.Time, verdicts []Verdict) {
 	for _, v := range verdicts {
@@ -153,7 +186,7 @@
 		}
 	}
 	a.publish(now)
-	due, ok := a.gate.Due()
+	due, ok := a.gate.Due(now)
 	if !ok || (!a.due.IsZero() && !due.Before(a.due)) {
 		return
 	}
@@ -179,31 +212,61 @@
 func (a *Admission) publish(now time.Time) {
 	load := a.gate.Load(now)
 	a.load.Store(&load)
+	if a.changed != nil {
+		a.changed(now)
+	}
 }
 
-// tickProbe sends a probe if the budget allows one; it runs on the goroutine of its subscription.
-func (a *Admission) tickProbe(budget func() float64, send func(ctx context.Context) (time.Duration, error)) {
+// OnChange sets what is called on the control goroutine after each change of the report; it must be set before the first
+// request.
+func (a *Admission) OnChange(f func(now time.Time)) { a.changed = f }
+
+// Target returns the target beside this node and the report of the gate; it runs on the control goroutine.
+func (a *Admission) Target() (string, Load) { return a.gate.state.Identity().Name, a.Load() }
+
+// tickProbe sends a probe if one is due; it runs on the goroutine of its subscription.
+func (a *Admission) tickProbe(budget func() float64, send func(ctx context.Context) (Probed, error)) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeLost)
 	defer cancel()
 	due := false
 	err := a.loop.Call(ctx, func(now time.Time) {
-		if due = Probe(now, a.probe, budget()); due {
+		if due = a.probeDue(now, budget); due {
 			a.probe = a.probe.WithProbe(now)
 		}
 	})
 	if err != nil || !due {
 		return
 	}
-	cost, err := send(ctx)
-	a.probing.Add(int64(cost))
+	wait, stop := context.WithTimeout(ctx, a.patience())
+	defer stop()
+	probed, err := send(wait)
+	a.probing.Add(int64(probed.Cost))
 	_ = a.loop.Call(ctx, func(now time.Time) {
-		a.probe = a.probe.WithResult(cost)
+		a.probe = a.probe.WithResult(probed.Cost)
 		if err != nil {
 			a.gate = a.gate.WithUnreachable(now)
+			a.settle(now, nil)
+			return
 		}
-		a.settle(now, nil)
+		a.report(now, probed.Report, true)
 	})
 }
 
+// probeDue runs on the control goroutine.
+func (a *Admission) probeDue(now time.Time, budget func() float64) bool {
+	if a.gate.IsTold() {
+		return ProbeTold(now, a.probe, a.gate.state.unsure, a.gate.queue.Len() > 0)
+	}
+	return Probe(now, a.probe, budget())
+}
+
+// patience returns how long a probe may take.
+func (a *Admission) patience() time.Duration {
+	if a.told.Load() {
+		return toldLost
+	}
+	return probeLost
+}
+
 // Close ends the probes and waits for one that is running.
 func (a *Admission) Close() { a.probes.Close() }
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -11,6 +11,7 @@
 	queueFactor = 2                     // waiting tickets at most, as a multiple of the limit
 	queueFor    = 50 * time.Millisecond // longest wait of a ticket
 	awayFor     = time.Second           // time after which to ask a target again that leaves or is taken out
+	downFor     = toldOften             // time after which to ask again about a target that does not answer
 )
 
 // Action tells what happens to a ticket.
@@ -54,16 +55,20 @@
 	started time.Time
 	cost    time.Duration // expected service time, charged at the start
 	full    bool          // the limit was reached while the request ran
+	pace    float64       // of the target at the start
 }
 
 // Gate decides which requests run at the target beside the node.
 type Gate struct {
 	limit     Limit
+	state     State
+	services  Services
 	queue     Queue
 	runs      []run     // by start
 	displaced []Verdict // refusals to return with the next event
 	leaving   bool
 	out       bool
+	down      bool // a target that tells of itself has not answered since
 }
 
 // NewGate returns the gate of a target that was not seen warm.
@@ -77,6 +82,27 @@
 	return g
 }
 
+// WithIdentity returns the gate of a target whose platform states what it bears.
+func (g Gate) WithIdentity(i Identity) Gate {
+	if g.state.Identity().Name != i.Name || !g.state.Identity().Born.Equal(i.Born) {
+		g.limit = NewLimit(g.limit.slots)
+	}
+	g.state = g.state.WithIdentity(i)
+	if i.Slots > 0 {
+		g.limit = g.limit.WithTold(i.Slots)
+	}
+	return g
+}
+
+// IsTold tells whether the platform states what the target bears.
+func (g Gate) IsTold() bool { return g.limit.told }
+
+// WithReport returns the gate after the target told of itself, with a response or as the answer to a probe.
+func (g Gate) WithReport(now time.Time, r answer.Report, asked bool) Gate {
+	g.state, g.down = g.state.WithReport(now, r, asked), false
+	return g
+}
+
 // WithLeaving returns the gate of a target that leaves, or no longer does; waiting tickets are still served.
 func (g Gate) WithLeaving(leaving bool) Gate {
 	g.leaving = leaving
@@ -86,7 +112,7 @@
 // WithOut returns the gate in a failure domain that is taken out, or brought back; on return the target counts as cold.
 func (g Gate) WithOut(now time.Time, out bool) Gate {
 	if g.out && !out {
-		g.limit = g.limit.WithRestart(now)
+		g.limit, g.state = g.limit.WithRestart(now), g.state.WithDoubt()
 	}
 	g.out = out
 	return g
@@ -94,7 +120,8 @@
 
 // WithUnreachable returns the gate after a probe got no answer; the target counts as cold when it is back.
 func (g Gate) WithUnreachable(now time.Time) Gate {
-	g.limit = g.limit.WithRefused(now)
+	g.limit, g.state = g.limit.WithRefused(now), g.state.WithDoubt()
+	g.down = g.IsTold()
 	return g
 }
 
@@ -107,28 +134,47 @@
 		Service: g.limit.Service(),
 		Failing: g.limit.Failing(),
 		Leaving: g.leaving,
+		Pace:    g.state.pace,
+		Mean:    g.state.mean,
+		Down:    g.down,
 	}
 }
 
 // Due returns when WithTick has to run at the latest, or false if nothing waits.
-func (g Gate) Due() (time.Time, bool) {
+func (g Gate) Due(now time.Time) (time.Time, bool) {
 	if len(g.displaced) > 0 {
 		return time.Time{}, true
 	}
 	var due time.Time
 	for i := range g.queue.waiters {
 		w := &g.queue.waiters[i]
-		at := w.arrived.Add(queueFor)
-		if !w.ticket.Deadline.IsZero() && w.ticket.Deadline.Before(at) {
-			at = w.ticket.Deadline
-		}
+		at := earlier(w.patience(), w.ticket.Deadline)
 		if due.IsZero() || at.Before(due) {
 			due = at
 		}
 	}
+	if !due.IsZero() && len(g.runs) < g.limit.Value() {
+		due = earlier(due, g.state.Free(now))
+	}
 	return due, !due.IsZero()
 }
 
+// patience returns until when the ticket waits: until its aim has passed, or for queueFor if it states none.
+func (w waiter) patience() time.Time {
+	if w.ticket.Aim.IsZero() {
+		return w.arrived.Add(queueFor)
+	}
+	return w.ticket.Aim
+}
+
+// earlier returns the earlier of two times, of which the second may be zero for none.
+func earlier(a, b time.Time) time.Time {
+	if !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func refuse(id uint64, code answer.Code, after time.Duration, text string) Verdict {
 	return Verdict{ID: id, Action: Refuse, Refusal: answer.NotRun(code, text).WithAfter(max(after, time.Millisecond))}
 }
@@ -142,26 +188,34 @@
 		return g, refuse(t.ID, answer.Leaving, awayFor, "the target is leaving")
 	case !t.Deadline.IsZero() && !now.Before(t.Deadline):
 		return g, refuse(t.ID, answer.Late, 0, "the deadline has passed")
+	case g.down:
+		return g, refuse(t.ID, answer.Busy, downFor, "the target does not answer")
 	}
 	g.limit = g.limit.WithIdle(now)
 	g = g.withOverdue(now)
 	g.queue = g.queue.clone(now)
 	limit := g.limit.Value()
-	if len(g.runs) < limit && g.queue.Room(now, t.Account, limit) {
-		if _, more := g.queue.Next(now, limit); !more {
+	hold := g.hold(t)
+	if hold == 0 && len(g.runs) < limit && g.state.Free(now).IsZero() && g.queue.Room(now, t.Account, limit) {
+		if first, more := g.queue.Next(now, limit, g.service()); !more || t.Rank.Before(first.Rank) {
 			return g.withStart(now, t), Verdict{ID: t.ID, Action: Start}
 		}
 	}
-	wait := g.expected(t.Account)
+	wait := g.expected(now, t)
+	if len(g.runs) < limit && g.queue.Len() == 0 && g.state.Free(now).IsZero() {
+		wait = hold
+	}
 	g.queue.share(now, t.Account)
 	switch {
 	case !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline):
 		return g, refuse(t.ID, answer.Late, wait, "the expected wait exceeds the time left")
-	case wait > queueFor:
+	case t.Move:
+		return g, refuse(t.ID, answer.Busy, max(wait, hold), "another target may start the request at once")
+	case t.Aim.IsZero() && wait > queueFor, !t.Aim.IsZero() && now.Add(wait).After(t.Aim):
 		return g, refuse(t.ID, answer.Busy, wait, "the expected wait is too long")
 	}
 	if g.queue.Len() >= queueFactor*limit {
-		victim, ok := g.queue.Displaced(t.Account)
+		victim, ok := g.queue.Displaced(t)
 		if !ok {
 			return g, refuse(t.ID, answer.Busy, wait, "the queue is full")
 		}
@@ -172,22 +226,41 @@
 	return g, Verdict{ID: t.ID, Action: Wait}
 }
 
-// expected returns the expected wait of a new ticket of the account.
-func (g Gate) expected(account string) time.Duration {
+// hold returns how long a ticket with an aim had better wait for the target to become fast.
+func (g Gate) hold(t Ticket) time.Duration {
+	if t.Aim.IsZero() {
+		return 0
+	}
+	return g.state.Hold(g.services.Of(t.Route, g.limit.Service()))
+}
+
+// service returns how long a request is expected to run that starts now.
+func (g Gate) service() time.Duration {
+	return time.Duration(float64(g.limit.Service()) * g.state.Pace())
+}
+
+// expected returns the expected wait of a new ticket.
+func (g Gate) expected(now time.Time, t Ticket) time.Duration {
 	limit, running := g.limit.Value(), len(g.runs)
 	service := g.limit.Service()
-	wait := service * time.Duration(g.queue.Ahead(account)+1) / time.Duration(limit)
+	ahead := g.queue.Ahead(t)
+	wait := service * time.Duration(ahead+1) / time.Duration(limit)
 	if running > limit {
 		wait += service * time.Duration(running-limit) / time.Duration(running)
 	}
+	if free := g.state.Free(now); !free.IsZero() {
+		// A cold target serves the queue at the pace that it bears.
+		wait = max(wait, free.Sub(now)+time.Duration(float64(ahead)/g.state.Identity().Rate*float64(time.Second)))
+	}
 	return wait
 }
 
 // withStart changes the queue, which must be a clone.
 func (g Gate) withStart(now time.Time, t Ticket) Gate {
 	cost := g.limit.Service()
+	g.state = g.state.WithStart(now)
 	g.queue.begin(now, t.Account, cost)
-	g.runs = append(slices.Clip(g.runs), run{ticket: t, started: now, cost: cost})
+	g.runs = append(slices.Clip(g.runs), run{ticket: t, started: now, cost: cost, pace: g.state.Pace()})
 	if len(g.runs) >= g.limit.Value() {
 		for i := range g.runs { // append copied the clipped slice
 			g.runs[i].full = true
@@ -229,19 +302,29 @@
 	g.queue.end(now, r.ticket.Account, now.Sub(r.started)-r.cost)
 	switch o.Kind {
 	case Good:
-		g.limit = g.limit.WithGood(now, r.started, o.Latency, r.full)
+		usual := g.usual(r, o.Latency)
+		g.limit = g.limit.WithGood(now, r.started, usual, r.full)
+		if g.IsTold() {
+			g.services = g.services.WithResponse(r.ticket.Route, usual)
+		}
 	case Failed:
 		g.limit = g.limit.WithFailed(now, o.Latency)
 	case Shed, Lost:
 		g.limit = g.limit.WithShed(now)
 	case Refused:
-		g.limit = g.limit.WithRefused(now)
+		g = g.WithUnreachable(now)
 	case Cancelled:
 		g.limit = g.limit.WithCancelled(now, r.started, o.Latency)
 	}
 	return g.advance(now)
 }
 
+// usual returns the time that a request would have taken at the usual pace. What a request takes depends most on the pace
+// at its start.
+func (g Gate) usual(r run, latency time.Duration) time.Duration {
+	return time.Duration(float64(latency) / orUsual(r.pace))
+}
+
 // WithCancel removes a waiting ticket whose caller gave up; a started one ends with WithDone.
 func (g Gate) WithCancel(now time.Time, id uint64) (Gate, []Verdict) {
 	g.queue = g.queue.clone(now)
@@ -269,17 +352,17 @@
 		switch {
 		case !w.ticket.Deadline.IsZero() && !now.Before(w.ticket.Deadline):
 			verdicts = append(verdicts, refuse(w.ticket.ID, answer.Late, 0, "the deadline passed in the queue"))
-		case now.Sub(w.arrived) >= queueFor:
-			verdicts = append(verdicts, refuse(w.ticket.ID, answer.Busy, g.expected(w.ticket.Account), "waited for too long"))
+		case !now.Before(w.patience()):
+			verdicts = append(verdicts, refuse(w.ticket.ID, answer.Busy, g.expected(now, w.ticket), "waited for too long"))
 		default:
 			i++
 			continue
 		}
 		g.queue.remove(now, w.ticket.ID)
 	}
-	for len(g.runs) < g.limit.Value() {
-		t, ok := g.queue.Next(now, g.limit.Value())
-		if !ok {
+	for len(g.runs) < g.limit.Value() && g.state.Free(now).IsZero() {
+		t, ok := g.queue.Next(now, g.limit.Value(), g.service())
+		if !ok || g.hold(t) > 0 {
 			break
 		}
 		g.queue.remove(now, t.ID)
--- a/node/target/gate_test.go
+++ b/node/target/gate_test.go
@@ -106,7 +106,7 @@
 	require.Equal(t, Refuse, v.Action)
 	g, v = g.WithArrival(now, Ticket{ID: 21, Account: "small"})
 	require.Equal(t, Wait, v.Action)
-	due, ok := g.Due()
+	due, ok := g.Due(now)
 	require.True(t, ok)
 	require.False(t, due.After(now))
 	_, verdicts := g.WithTick(now)
@@ -287,7 +287,7 @@
 			}
 			b.note(r, now, g.Load(now).Limit, verdicts...)
 			for waits, f := range b.fates {
-				if due, ok := g.Due(); f == waiting && ok {
+				if due, ok := g.Due(now); f == waiting && ok {
 					require.LessOrEqual(r, due.Sub(b.arrived[waits]), queueFor)
 				}
 			}
--- a/node/target/limit.go
+++ b/node/target/limit.go
@@ -12,6 +12,7 @@
 	nearFactor  = 1.5 // median service time up to this multiple of its long-term mean allows growth
 	baseWeight  = 64  // responses over which the baseline is averaged
 	shortWeight = 8   // responses over which recent values are averaged
+	toldWeight  = 32  // the same for targets that tell how fast they work now, whose other variation is that of requests
 	// The last four responses or so count, so that a target that recovered is soon used again.
 	failWeight = 4
 	// One failure among four responses is common in applications; two or more point to a failing target.
@@ -31,6 +32,7 @@
 
 // Limit is the number of concurrent requests that a target is found to have capacity for; it starts at 1.
 type Limit struct {
+	told    bool // the target states its slots, so that its capacity need not be found
 	slots   int
 	value   int
 	credit  int // responses at full use since the last change, the good ones less those beyond nearFactor
@@ -61,6 +63,15 @@
 	return Limit{slots: max(slots, 1), value: 1}
 }
 
+// WithTold returns the limit of a target that states its slots.
+func (l Limit) WithTold(slots int) Limit {
+	if l.told && l.slots == slots {
+		return l
+	}
+	l.told, l.slots, l.value = true, slots, Usable(slots)
+	return l
+}
+
 // Value returns the number of concurrent requests.
 func (l Limit) Value() int { return l.value }
 
@@ -84,6 +95,9 @@
 
 // WithCold returns the limit of a target that started anew.
 func (l Limit) WithCold(now time.Time) Limit {
+	if l.told {
+		return l // a told target is also asked how long it stays cold, and that bounds its requests
+	}
 	l.slow, l.cut = 0, now
 	l.held, l.holding = 0, 0
 	return l.withValue(1)
@@ -114,7 +128,7 @@
 
 // WithIdle returns the limit after a time without responses.
 func (l Limit) WithIdle(now time.Time) Limit {
-	if l.heard.IsZero() {
+	if l.told || l.heard.IsZero() {
 		return l
 	}
 	for ; l.value > 1 && now.Sub(l.heard) >= idleCut; l.heard = l.heard.Add(idleCut) {
@@ -125,7 +139,7 @@
 
 // Slow returns the service time from which a response counts as slow, or zero while no baseline exists.
 func (l Limit) Slow() time.Duration {
-	if l.seen < slowCold {
+	if l.told || l.seen < slowCold {
 		return 0
 	}
 	return max(slowFactor*l.base, l.base+2*l.spread)
@@ -135,6 +149,9 @@
 func (l Limit) WithGood(now, started time.Time, latency time.Duration, full bool) Limit {
 	l.heard = now
 	l.failing -= l.failing / failWeight
+	if l.told {
+		return l.withTold(now, latency)
+	}
 	after := !started.Before(l.cut)
 	latency = max(latency, time.Microsecond)
 	if l.seen == 0 {
@@ -196,6 +213,20 @@
 	return l
 }
 
+// withTold returns the limit of a target that states its slots after a response. After a reduction it returns to what the
+// slots allow by one for each response.
+func (l Limit) withTold(now time.Time, latency time.Duration) Limit {
+	if l.seen == 0 {
+		l.recent = latency
+	}
+	l.seen = min(l.seen+1, baseWeight)
+	l.recent += (latency - l.recent) / time.Duration(min(l.seen, toldWeight))
+	if l.value < Usable(l.slots) && now.Sub(l.cut) >= holdFor {
+		l.value++
+	}
+	return l
+}
+
 // withDebit lowers the limit by one after as many responses as the limit while service times are above the baseline.
 func (l Limit) withDebit(now time.Time) Limit {
 	l.credit--
@@ -249,7 +280,7 @@
 // WithCancelled returns the limit after a request was cancelled, whose service time is at least the given time.
 // Without it the slowness of a target is hidden by hedges, which cancel its slow requests.
 func (l Limit) WithCancelled(now, started time.Time, latency time.Duration) Limit {
-	if l.seen == 0 || latency <= l.recent {
+	if l.told || l.seen == 0 || latency <= l.recent {
 		return l
 	}
 	l.recent += (latency - l.recent) / time.Duration(min(l.seen, shortWeight))
@@ -263,7 +294,7 @@
 func (l Limit) WithFailed(now time.Time, latency time.Duration) Limit {
 	l.heard = now
 	l.failing += (1 - l.failing) / failWeight
-	if l.failing >= failingCut && 2*latency < l.base {
+	if !l.told && l.failing >= failingCut && 2*latency < l.base {
 		return l.withCut(now)
 	}
 	return l
@@ -273,6 +304,10 @@
 func (l Limit) WithShed(now time.Time) Limit {
 	l.heard = now
 	l.failing += (1 - l.failing) / failWeight
+	if l.told {
+		l.cut, l.value = now, max(l.value*3/4, 1)
+		return l
+	}
 	if l.paced {
 		// A cold target that gets too much may start again from the beginning.
 		if l.value > 1 {
--- a/node/target/load.go
+++ b/node/target/load.go
@@ -14,18 +14,21 @@
 	Service time.Duration // recent mean service time
 	Failing float64       // share of recent responses that failed
 	Leaving bool
+	Pace    float64 // time that work takes now as a multiple of the usual one, zero if the target does not tell it
+	Mean    float64 // mean of Pace, zero likewise
+	Down    bool    // the target does not answer
 }
 
 // String returns the text form of the report.
 func (l Load) String() string {
-	return fmt.Sprintf("%d %d %d %d %.3f %t", l.Running, l.Queued, l.Limit, l.Service.Microseconds(), l.Failing, l.Leaving)
+	return fmt.Sprintf("%d %d %d %d %.3f %t %.2f %.2f %t", l.Running, l.Queued, l.Limit, l.Service.Microseconds(), l.Failing, l.Leaving, l.Pace, l.Mean, l.Down)
 }
 
 // ParseLoad reads the text form of a report.
 func ParseLoad(s string) (Load, error) {
 	var l Load
 	var us int64
-	if _, err := fmt.Sscanf(s, "%d %d %d %d %f %t", &l.Running, &l.Queued, &l.Limit, &us, &l.Failing, &l.Leaving); err != nil {
+	if _, err := fmt.Sscanf(s, "%d %d %d %d %f %t %f %f %t", &l.Running, &l.Queued, &l.Limit, &us, &l.Failing, &l.Leaving, &l.Pace, &l.Mean, &l.Down); err != nil {
 		return Load{}, fmt.Errorf("target: reading a load report: %w", err)
 	}
 	l.Service = time.Duration(us) * time.Microsecond
--- a/node/target/probe.go
+++ b/node/target/probe.go
@@ -7,6 +7,15 @@
 	freshFor   = time.Second          // responses younger than this replace a probe
 	probeEvery = 200 * time.Millisecond
 	probeLost  = 5 * time.Second // a probe without a result counts as lost after this time
+
+	// Targets that tell how fast they work and whether they are cold are asked more often, at a cost of microseconds: the
+	// pace shifts within a fraction of a second, and one that turned cold breaks down within a second.
+	toldFresh  = 100 * time.Millisecond // responses younger than this tell the pace
+	toldRare   = 500 * time.Millisecond // pause between probes while they do
+	toldOften  = 100 * time.Millisecond // pause between probes otherwise
+	toldUnsure = 100 * time.Millisecond // pause while the target may have started anew
+	toldWaited = 50 * time.Millisecond  // pause while requests wait for the target to become fast
+	toldLost   = 500 * time.Millisecond // an answer that takes longer means that the target does not answer
 )
 
 // ProbeState is what the decision to probe depends on.
@@ -53,3 +62,20 @@
 	pause := time.Duration(float64(max(s.cost, s.last)) / budget)
 	return since >= max(pause, probeEvery)
 }
+
+// ProbeTold tells whether to probe a target that tells of itself; unsure says that it may have started anew, waited that
+// requests wait for it.
+func ProbeTold(now time.Time, s ProbeState, unsure, waited bool) bool {
+	since := now.Sub(s.sent)
+	switch {
+	case s.open && since < toldLost:
+		return false
+	case waited:
+		return since >= toldWaited
+	case unsure:
+		return since >= toldUnsure
+	case !s.heard.IsZero() && now.Sub(s.heard) < toldFresh:
+		return since >= toldRare
+	}
+	return since >= toldOften
+}
--- a/node/target/queue.go
+++ b/node/target/queue.go
@@ -15,9 +15,18 @@
 type Ticket struct {
 	ID       uint64
 	Account  string
+	Route    string
+	Rank     Rank
+	Move     bool      // the request may go to another target instead of waiting here
+	Aim      time.Time // the response is wanted by then, zero if nothing is stated
 	Deadline time.Time
 }
 
+// Late tells whether a request that starts at the given time is answered after its aim.
+func (t Ticket) Late(start time.Time, service time.Duration) bool {
+	return !t.Aim.IsZero() && start.Add(service).After(t.Aim)
+}
+
 type waiter struct {
 	ticket  Ticket
 	arrived time.Time
@@ -184,47 +193,91 @@
 	return (3*limit + 3) / 4
 }
 
-// Next returns the ticket to start next under the limit.
-func (q Queue) Next(now time.Time, limit int) (Ticket, bool) {
-	best := -1
+// Next returns the ticket to start next under the limit: of the most urgent rank, of those that can still meet their
+// aim within the given service time, of the account that was served least.
+func (q Queue) Next(now time.Time, limit int, service time.Duration) (Ticket, bool) {
+	rank, late, any := q.class(now, limit, service)
+	if !any {
+		return Ticket{}, false
+	}
+	in := func(w waiter) bool { return w.ticket.Rank == rank && w.ticket.Late(now, service) == late }
+	best, first := -1, -1
 	for i := range q.shares {
 		s := &q.shares[i]
 		if s.waiting == 0 || (best >= 0 && s.served > q.shares[best].served) || !q.Room(now, s.account, limit) {
 			continue
 		}
-		if best < 0 || s.served < q.shares[best].served || q.first(s.account) < q.first(q.shares[best].account) {
-			best = i
+		at := slices.IndexFunc(q.waiters, func(w waiter) bool { return w.ticket.Account == s.account && in(w) })
+		if at < 0 {
+			continue
+		}
+		if best < 0 || s.served < q.shares[best].served || at < first {
+			best, first = i, at
 		}
 	}
 	if best < 0 {
 		return Ticket{}, false
 	}
-	return q.waiters[q.first(q.shares[best].account)].ticket, true
+	return q.waiters[first].ticket, true
 }
 
-func (q Queue) first(account string) int {
-	return slices.IndexFunc(q.waiters, func(w waiter) bool { return w.ticket.Account == account })
+// class returns the rank that is served next, and whether all its tickets are late; false if none may start.
+func (q Queue) class(now time.Time, limit int, service time.Duration) (rank Rank, late, any bool) {
+	for _, w := range q.waiters {
+		t := w.ticket
+		if any && rank.Before(t.Rank) {
+			continue
+		}
+		if !q.Room(now, t.Account, limit) {
+			continue
+		}
+		tardy := t.Late(now, service)
+		if !any || t.Rank.Before(rank) {
+			rank, late, any = t.Rank, tardy, true
+		}
+		late = late && tardy
+	}
+	return rank, late, any
 }
 
-// Ahead returns the number of tickets that start before a new one of the account, if all accounts get equal turns.
-func (q Queue) Ahead(account string) int {
+// Ahead returns the number of tickets that start before a new one, if all accounts of its rank get equal turns.
+func (q Queue) Ahead(t Ticket) int {
 	own := 0
-	if i := q.find(account); i >= 0 {
-		own = q.shares[i].waiting
-	}
 	n := 0
-	for i := range q.shares {
-		n += min(q.shares[i].waiting, own+1)
+	waiting := map[string]int{}
+	for _, w := range q.waiters {
+		switch {
+		case w.ticket.Rank.Before(t.Rank):
+			n++
+		case t.Rank.Before(w.ticket.Rank):
+		case w.ticket.Account == t.Account:
+			own++
+		default:
+			waiting[w.ticket.Account]++
+		}
 	}
-	return n
+	for _, other := range waiting {
+		n += min(other, own+1)
+	}
+	return n + own
 }
 
-// Displaced returns the waiting ticket that gives way to a new one of the account when the queue is full:
-// the youngest of the account with most waiting tickets, if that has at least two more than the new one's.
-func (q Queue) Displaced(account string) (Ticket, bool) {
+// Displaced returns the waiting ticket that gives way to a new one when the queue is full: the youngest of the least
+// urgent rank if that is less urgent than the new one's, otherwise the youngest of the account with most waiting tickets,
+// if that has at least two more than the new one's.
+func (q Queue) Displaced(t Ticket) (Ticket, bool) {
+	least := -1
+	for i, w := range q.waiters {
+		if t.Rank.Before(w.ticket.Rank) && (least < 0 || !w.ticket.Rank.Before(q.waiters[least].ticket.Rank)) {
+			least = i
+		}
+	}
+	if least >= 0 {
+		return q.waiters[least].ticket, true
+	}
 	own, most := 0, -1
 	for i := range q.shares {
-		if q.shares[i].account == account {
+		if q.shares[i].account == t.Account {
 			own = q.shares[i].waiting
 		}
 		if most < 0 || q.shares[i].waiting > q.shares[most].waiting {
@@ -235,8 +288,8 @@
 		return Ticket{}, false
 	}
 	for i := len(q.waiters) - 1; i >= 0; i-- {
-		if q.waiters[i].ticket.Account == q.shares[most].account {
-			return q.waiters[i].ticket, true
+		if w := q.waiters[i].ticket; w.Account == q.shares[most].account && w.Rank == t.Rank {
+			return w, true
 		}
 	}
 	return Ticket{}, false
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -46,7 +46,9 @@
 		return Reply{Load: s.load(), Reported: true}, err
 	}
 	arrived := s.now()
-	finish, err := s.admit(c.Request.Context(), Ticket{Account: c.Account, Deadline: c.Deadline})
+	finish, err := s.admit(c.Request.Context(), Ticket{
+		Account: c.Account, Route: c.Route, Rank: c.Rank, Move: c.Move, Aim: c.Aim, Deadline: c.Deadline,
+	})
 	begun := s.now()
 	stages := Stages{Queue: begun.Sub(arrived)}
 	if err != nil {
