Reload the settings on SIGHUP and when the file changes

Change: SIGHUP reads the settings again, as does a change of the platform's file that no signal tells of; service, target, log level, grace and the bound of slow requests are adopted while the node runs, others are logged as waiting for the next start.

--- a/node/caller/body.go
+++ b/node/caller/body.go
@@ -61,7 +61,6 @@
 	expects bool // the caller waits for 100 Continue
 	w       *response
 	ended   chan struct{}
-	once    sync.Once
 
 	mu     sync.Mutex
 	closed bool
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -172,7 +172,7 @@
 func (n *Node) slots(t config.Tree) int {
 	slots := 1
 	for _, r := range t.Routes() {
-		if r.Service == n.settings.Service {
+		if r.Service == n.live().service {
 			slots = max(slots, min(r.Slots, r.Conns))
 		}
 	}
--- a/node/daemon/main.go
+++ b/node/daemon/main.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	divertLibraries(n.journal)
-	return n.Run(ctx)
+	return n.RunReloading(ctx, func() (Settings, error) { return ParseSettings(args) }, nil)
 }
 
 // divertLibraries sends what libraries print on standard error to the log; it holds for the whole process.
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -37,7 +38,8 @@
 
 // Node is one running process of the fleet.
 type Node struct {
-	settings Settings
+	settings Settings // as of the start
+	reloaded atomic.Pointer[reloadable]
 	policy   Policy
 	platform *Platform // nil with the product's own services
 	boot     uint32
@@ -84,6 +86,7 @@
 
 func newNode(s Settings, p Policy, platform *Platform, log io.Writer) (*Node, error) {
 	n := &Node{settings: s, policy: p, platform: platform, boot: rand.Uint32(), clock: clock.New(), leaving: make(chan struct{})}
+	n.reloaded.Store(newReloadable(s))
 	if !s.Alone() && !s.Plain {
 		identity, err := peer.NewIdentity(s.Name, s.Cert, s.Key, s.CA)
 		if err != nil {
@@ -222,11 +225,7 @@
 		n.ticks = append(n.ticks, n.clock.Subscribe(sweepEvery, func(time.Time) { _ = n.loop.Post(context.Background(), n.sweep) }))
 	}
 	if n.identity != nil {
-		n.ticks = append(n.ticks, n.clock.Subscribe(reloadEvery, func(time.Time) {
-			if err := n.identity.Reload(); err != nil {
-				n.journal.Error("certificates could not be read again; the earlier ones stay in use", journal.Cause(err))
-			}
-		}))
+		n.ticks = append(n.ticks, n.clock.Subscribe(reloadEvery, func(time.Time) { n.reloadIdentity() }))
 	}
 	n.ticks = append(n.ticks, n.clock.Subscribe(metricsEvery, func(time.Time) { n.measure() }))
 }
--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -53,7 +53,7 @@
 			journal.Code(r.Refusal.Code), journal.Run(r.Refusal.Run), journal.Refusal(*r.Refusal))...)
 	case r.Broken != nil:
 		n.journal.Info("response broke off", append(fields, journal.Status(r.Status), journal.Cause(r.Broken))...)
-	case n.settings.Slow > 0 && r.Head > n.settings.Slow:
+	case n.live().slow > 0 && r.Head > n.live().slow:
 		n.journal.Info("request was slow", append(fields, journal.Status(r.Status))...)
 	default:
 		n.journal.Debug("request answered", append(fields, journal.Status(r.Status))...)
--- a/node/daemon/probe.go
+++ b/node/daemon/probe.go
@@ -12,7 +12,7 @@
 func (n *Node) probeBudget() float64 {
 	budget := 0.0
 	for _, r := range n.store.Snapshot().Tree().Routes() {
-		if r.Service == n.settings.Service && (budget == 0 || r.Probe < budget) {
+		if r.Service == n.live().service && (budget == 0 || r.Probe < budget) {
 			budget = r.Probe
 		}
 	}
@@ -24,10 +24,10 @@
 
 func (n *Node) probe(ctx context.Context) (target.Probed, error) {
 	path := probePath
-	if stated := n.store.Snapshot().Tree().Service(n.settings.Service).Probe; stated != "" {
+	if stated := n.store.Snapshot().Tree().Service(n.live().service).Probe; stated != "" {
 		path = stated
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.settings.Target.JoinPath(path).String(), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.live().target.JoinPath(path).String(), nil)
 	if err != nil {
 		return target.Probed{}, fmt.Errorf("daemon: making a probe: %w", err)
 	}
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -158,7 +158,7 @@
 
 // speak makes the node use the dialect of the platform.
 func (n *Node) speak(d answer.Dialect) {
-	n.callers.Dialect, n.callers.Origin = d, func() string { return n.settings.Service }
+	n.callers.Dialect, n.callers.Origin = d, func() string { return n.live().service }
 	n.gate.Dialect, n.peers.Dialect = d, d
 	n.gate.Told = n.admission.Told
 	n.dispatcher.Move = true
--- a/node/daemon/shutdown.go
+++ b/node/daemon/shutdown.go
@@ -24,9 +24,9 @@
 
 // shutdown announces that the node leaves, refuses new work for its target, answers what it accepted, and ends.
 func (n *Node) shutdown() error {
-	limit, cancel := context.WithTimeout(context.Background(), n.settings.Grace)
+	limit, cancel := context.WithTimeout(context.Background(), n.live().grace)
 	defer cancel()
-	n.journal.Info("node is leaving", journal.Within(n.settings.Grace))
+	n.journal.Info("node is leaving", journal.Within(n.live().grace))
 	close(n.leaving)
 	n.callers.Leave()
 	err := errors.Join(n.members.Leave(limit), n.admission.SetLeaving(limit, true))
--- a/node/daemon/state.go
+++ b/node/daemon/state.go
@@ -46,7 +46,7 @@
 		reason = ""
 	}
 	return report.State{
-		Name: n.settings.Name, Domain: n.settings.Domain, Service: n.settings.Service,
+		Name: n.settings.Name, Domain: n.settings.Domain, Service: n.live().service,
 		Ready: ready, Reason: reason,
 		Version: v.Number(), Digest: v.Digest().String(),
 		Verdict: string(v.Verdict(now).Code), Age: v.EvidenceAge(now).Milliseconds(),
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -82,7 +82,7 @@
 // candidates returns the instances of a service that are not known to leave.
 func (n *Node) candidates(service string) []peer.Candidate {
 	if n.settings.Alone() {
-		if service != n.settings.Service {
+		if service != n.live().service {
 			return nil
 		}
 		return []peer.Candidate{{Name: n.settings.Name, Domain: n.settings.Domain}}
--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -33,6 +33,9 @@
 // Account is the name of a client account.
 func Account(name string) Field { return Field{name: "account", value: plain(name)} }
 
+// Service is the name of a service.
+func Service(name string) Field { return Field{name: "service", value: plain(name)} }
+
 // Instance is the name of another instance.
 func Instance(name string) Field { return Field{name: "instance", value: plain(name)} }
 
--- a/node/journal/journal.go
+++ b/node/journal/journal.go
@@ -81,6 +81,9 @@
 // Error writes a line about a fault that needs an operator.
 func (j *Journal) Error(m Message, fields ...Field) { j.limited(logrus.ErrorLevel, most, m, fields) }
 
+// SetLevel changes the lowest level that is written.
+func (j *Journal) SetLevel(level logrus.Level) { j.log.SetLevel(level) }
+
 // Library returns a logger for a library that writes text of its own.
 // Only TLS handshake errors keep their text, because others may quote a request or a response.
 func (j *Journal) Library(name string) *log.Logger {
--- a/node/target/transport.go
+++ b/node/target/transport.go
@@ -49,14 +49,14 @@
 
 // Transport sends requests to the target over warm connections and never repeats one.
 type Transport struct {
-	base *url.URL
+	base atomic.Pointer[url.URL]
 	http *http.Transport
 }
 
 // NewTransport returns a transport to the target at base with at most conns connections.
 func NewTransport(base *url.URL, conns int) *Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Transport{base: base, http: &http.Transport{
+	t := &Transport{http: &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -71,6 +71,14 @@
 		ExpectContinueTimeout:  continueTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
+	t.base.Store(base)
+	return t
+}
+
+// SetBase makes the transport send further requests to the target at another address.
+func (t *Transport) SetBase(base *url.URL) {
+	t.base.Store(base)
+	t.http.CloseIdleConnections()
 }
 
 // RoundTrip sends one request, whose headers it may change; its error is a SendError.
@@ -84,7 +92,8 @@
 	}}
 	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	at := *r.URL
-	at.Scheme, at.Host = t.base.Scheme, t.base.Host
+	base := t.base.Load()
+	at.Scheme, at.Host = base.Scheme, base.Host
 	out.URL = &at
 	out.RequestURI = ""
 	PreventResend(out)
