Ask a target for its pace before each start, and report expected waits

Cause: 5% of the requests started on a report of the pace that was out of date and took four times as long; targets that joined cold got bursts, because senders saw no load there; a third of the refusals as rate were inside the account's rate.

--- a/node/account/control.go
+++ b/node/account/control.go
@@ -48,6 +48,7 @@
 	// lendsFrom is when the wait after the start ended; the control goroutine owns it.
 	lendsFrom time.Time
 	fleets    int64 // calls of SetHomes, which number the shares
+	overage   float64
 }
 
 // New returns a limiter of the node self, whose state lives on the given loop.
@@ -70,19 +71,22 @@
 	return a
 }
 
-// NewEager returns a limiter whose homes follow from the fleet, by SetHomes.
-func NewEager(self string, l *loop.Loop, c *clock.Clock,
+// NewEager returns a limiter whose homes follow from the fleet, by SetHomes, and mint the given part more than the rates
+// and bursts, which leaves requests inside them unrefused when the tokens lie at the wrong homes.
+func NewEager(self string, l *loop.Loop, c *clock.Clock, overage float64,
 	send func(ctx context.Context, home string, take Take) (Grant, error),
 ) *Limiter {
 	always := func(time.Time) bool { return true }
-	return newLimiter(self, l, c, send, always, NewEagerLedger(self, 0))
+	a := newLimiter(self, l, c, send, always, NewEagerLedger(self, 0))
+	a.overage = overage
+	return a
 }
 
 // SetHomes adopts the homes of a fleet, or the accounts of another tree; it must be called on the control goroutine.
 func (a *Limiter) SetHomes(now time.Time, t config.Tree, homes []string) {
 	a.fleets++
 	t = t.WithHomes(homes)
-	a.ledger.SetShares(a.since(now), NewShares(a.self, t).WithVersion(a.fleets))
+	a.ledger.SetShares(a.since(now), NewShares(a.self, t).WithVersion(a.fleets).WithOverage(a.overage))
 	a.book.SetHomes(HomesOf(t))
 }
 
--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -47,6 +47,16 @@
 	return s
 }
 
+// WithOverage returns the shares increased by a part of themselves, for fleets whose promise allows that.
+func (s Shares) WithOverage(overage float64) Shares {
+	limits := make(map[string]Limit, len(s.limits))
+	for name, l := range s.limits {
+		limits[name] = Limit{Rate: l.Rate * (1 + overage), Burst: l.Burst * (1 + overage)}
+	}
+	s.limits = limits
+	return s
+}
+
 // Ledger is a home's side: the shares it mints and the loans it gave. The control goroutine owns it.
 type Ledger struct {
 	self    string
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -38,8 +38,8 @@
 
 // Node is one running process of the fleet.
 type Node struct {
-	settings Settings // as of the start
-	reloaded atomic.Pointer[reloadable]
+	settings Settings                   // as of the start
+	reloaded atomic.Pointer[reloadable] // nil until the first reload
 	policy   Policy
 	platform *Platform // nil with the product's own services
 	boot     uint32
@@ -86,7 +86,6 @@
 
 func newNode(s Settings, p Policy, platform *Platform, log io.Writer) (*Node, error) {
 	n := &Node{settings: s, policy: p, platform: platform, boot: rand.Uint32(), clock: clock.New(), leaving: make(chan struct{})}
-	n.reloaded.Store(newReloadable(s))
 	if !s.Alone() && !s.Plain {
 		identity, err := peer.NewIdentity(s.Name, s.Cert, s.Key, s.CA)
 		if err != nil {
@@ -141,7 +140,7 @@
 	}
 	if n.platform != nil {
 		n.feed = registry.New(n.feedSettings())
-		n.limiter = account.NewEager(s.Name, n.loop, n.clock, n.sendTake)
+		n.limiter = account.NewEager(s.Name, n.loop, n.clock, n.platform.Overage, n.sendTake)
 	} else {
 		n.limiter = account.New(s.Name, n.loop, n.clock, n.sendTake, n.mayMint)
 	}
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -25,6 +25,8 @@
 	Decode  func(registry.Item) (registry.Fact, error)
 	Dialect answer.Dialect
 	Ready   string // path on which the platform asks whether the node is ready
+	// Overage is the part of the rates and bursts of accounts that is admitted beyond them.
+	Overage float64
 }
 
 // facts are what the registry says besides the configuration; the control goroutine changes them.
--- a/node/daemon/reload.go
+++ b/node/daemon/reload.go
@@ -28,7 +28,12 @@
 }
 
 // live returns the settings in force; any goroutine may call it.
-func (n *Node) live() *reloadable { return n.reloaded.Load() }
+func (n *Node) live() *reloadable {
+	if r := n.reloaded.Load(); r != nil {
+		return r
+	}
+	return newReloadable(n.settings)
+}
 
 // changedEvery is the period in which a settings file is checked for a change that no signal tells of. A change of the
 // target has to be known before requests for another service arrive at its address, 2 s after the target ended.
--- a/node/peer/audience.go
+++ b/node/peer/audience.go
@@ -17,6 +17,8 @@
 	noticePause = 30 * time.Millisecond
 	// loadStep is the change of running and waiting requests that is worth a notice, as a share of the limit.
 	loadStep = 0.2
+	// waitStep is the change of the expected wait that is worth a notice.
+	waitStep = 20 * time.Millisecond
 	// paceStep is the change of the pace that is worth a notice at once.
 	paceStep = 0.25
 )
@@ -55,13 +57,16 @@
 func (a Audience) worth(now time.Time, l target.Load) bool {
 	since := now.Sub(a.at)
 	switch {
-	case since >= noticeEvery, l.Leaving != a.told.Leaving, l.Down != a.told.Down:
+	case since >= noticeEvery, l.Leaving != a.told.Leaving, l.Down != a.told.Down, l.Cold != a.told.Cold:
 		return true
 	case l.Pace-a.told.Pace >= paceStep, a.told.Pace-l.Pace >= paceStep:
 		return true
 	case since < noticePause:
 		return false
 	}
+	if longer := l.Wait - a.told.Wait; longer >= waitStep || longer <= -waitStep {
+		return true
+	}
 	change := l.Running + l.Queued - a.told.Running - a.told.Queued
 	return l.Limit != a.told.Limit || float64(max(change, -change)) >= max(loadStep*float64(l.Limit), 1)
 }
--- a/node/peer/board.go
+++ b/node/peer/board.go
@@ -31,12 +31,13 @@
 	// Three notices in a row are lost only when something is wrong with the node or the way to it.
 	silentAfter = 3 * noticeEvery
 	silentCost  = 2 * time.Second // such a target comes after all others
-	slowWait    = 1.5             // pace from which a gate lets requests wait until the target is fast again
-	firstTrip   = 200 * time.Microsecond
-	farTrip     = 2 * time.Millisecond // there and back to another failure domain
-	firstTime   = 10 * time.Millisecond
-	tripWeight  = 8
-	buckets     = 64 // an event copies the list of buckets and one bucket
+	// coldCost is what the slowness of a cold target costs a request, which its pace does not tell.
+	coldCost   = 100 * time.Millisecond
+	firstTrip  = 200 * time.Microsecond
+	farTrip    = 2 * time.Millisecond // there and back to another failure domain
+	firstTime  = 10 * time.Millisecond
+	tripWeight = 8
+	buckets    = 64 // an event copies the list of buckets and one bucket
 )
 
 // Candidate is an instance whose target serves the route.
@@ -345,8 +346,9 @@
 	score = time.Duration((ahead+ownWeight)/limit*float64(service)) + time.Duration(failing*float64(failingCost))
 	if e == nil || !e.tells() {
 		score += b.Trip(c.Domain, own) + c.Extra
-	} else if e.load.Pace >= slowWait && wait == 0 {
-		wait = time.Duration(float64(service) - float64(service)/e.load.Pace)
+	} else if e.live(now) {
+		wait = max(wait, e.load.Wait-now.Sub(e.reported))
+		score = max(score, wait)
 	}
 	if e != nil && e.avoid.After(now) {
 		wait = max(wait, e.avoid.Sub(now))
@@ -371,7 +373,14 @@
 		if e.live(now) {
 			fresh = 1
 		}
-		cost += time.Duration(float64(e.load.Service) * paceOf(e.load, fresh))
+		if e.live(now) && e.load.Wait > 0 {
+			cost += e.load.Service // the gate lets the request wait until the target is fast
+		} else {
+			cost += time.Duration(float64(e.load.Service) * paceOf(e.load, fresh))
+		}
+	}
+	if e.load.Cold {
+		cost += coldCost
 	}
 	if e.silent(now) {
 		cost += silentCost
--- a/node/peer/notice.go
+++ b/node/peer/notice.go
@@ -43,6 +43,7 @@
 		Target: n.Target, Boot: n.Boot, Number: n.Number, Running: uint32(l.Running), Queued: uint32(l.Queued),
 		Limit: uint32(l.Limit), Service: uint32(l.Service.Microseconds()), Pace: uint32(l.Pace * percent),
 		Mean: uint32(l.Mean * percent), Failing: uint32(l.Failing * percent), Leaving: l.Leaving, Down: l.Down,
+		Cold: l.Cold, Wait: uint32(l.Wait.Milliseconds()),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("peer: encoding a notice: %w", err)
@@ -62,7 +63,7 @@
 		Running: int(m.GetRunning()), Queued: int(m.GetQueued()), Limit: int(m.GetLimit()),
 		Service: time.Duration(m.GetService()) * time.Microsecond, Pace: float64(m.GetPace()) / percent,
 		Mean: float64(m.GetMean()) / percent, Failing: float64(m.GetFailing()) / percent,
-		Leaving: m.GetLeaving(), Down: m.GetDown(),
+		Leaving: m.GetLeaving(), Down: m.GetDown(), Cold: m.GetCold(), Wait: time.Duration(m.GetWait()) * time.Millisecond,
 	}}, nil
 }
 
--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -32,6 +32,9 @@
 	probe   ProbeState
 	load    atomic.Pointer[Load]
 	changed func(now time.Time) // called after each change of the report, may be nil
+	budget  func() float64
+	send    func(ctx context.Context) (Probed, error)
+	asking  loop.Group // probes for which requests wait
 	probes  *clock.Subscription
 	begun   time.Time
 	probing atomic.Int64 // nanoseconds of the target's time that probes took
@@ -53,9 +56,10 @@
 		waiting: map[uint64]chan Verdict{},
 		probe:   NewProbeState(c.Now()),
 		begun:   c.Now(),
+		budget:  budget, send: sendProbe,
 	}
 	a.publish(c.Now())
-	a.probes = c.Subscribe(probeTick, func(time.Time) { a.tickProbe(budget, sendProbe) })
+	a.probes = c.Subscribe(probeTick, func(time.Time) { a.tickProbe() })
 	return a
 }
 
@@ -186,6 +190,7 @@
 		}
 	}
 	a.publish(now)
+	a.ask(now)
 	due, ok := a.gate.Due(now)
 	if !ok || (!a.due.IsZero() && !due.Before(a.due)) {
 		return
@@ -224,24 +229,35 @@
 // Target returns the target beside this node and the report of the gate; it runs on the control goroutine.
 func (a *Admission) Target() (string, Load) { return a.gate.state.Identity().Name, a.Load() }
 
-// tickProbe sends a probe if one is due; it runs on the goroutine of its subscription.
-func (a *Admission) tickProbe(budget func() float64, send func(ctx context.Context) (Probed, error)) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeLost)
-	defer cancel()
+// tickProbe considers a probe; it runs on the goroutine of its subscription.
+func (a *Admission) tickProbe() {
 	due := false
-	err := a.loop.Call(ctx, func(now time.Time) {
-		if due = a.probeDue(now, budget); due {
+	err := a.loop.Call(context.Background(), func(now time.Time) {
+		if due = a.probeDue(now); due {
 			a.probe = a.probe.WithProbe(now)
 		}
 	})
-	if err != nil || !due {
-		return
+	if err == nil && due {
+		a.runProbe()
+	}
+}
+
+// ask sends a probe if requests wait for its answer; it runs on the control goroutine.
+func (a *Admission) ask(now time.Time) {
+	if a.gate.Asks(now) && !a.probe.IsOpen(now) {
+		a.probe = a.probe.WithProbe(now)
+		a.asking.Go(a.runProbe)
 	}
-	wait, stop := context.WithTimeout(ctx, a.patience())
-	defer stop()
-	probed, err := send(wait)
+}
+
+// runProbe sends a probe and adopts its outcome.
+func (a *Admission) runProbe() {
+	ctx, cancel := context.WithTimeout(context.Background(), a.patience())
+	defer cancel()
+	probed, err := a.send(ctx)
 	a.probing.Add(int64(probed.Cost))
-	_ = a.loop.Call(ctx, func(now time.Time) {
+	// The loop closes after the probes, so that its error needs no handling.
+	_ = a.loop.Call(context.Background(), func(now time.Time) {
 		a.probe = a.probe.WithResult(probed.Cost)
 		if err != nil {
 			a.gate = a.gate.WithUnreachable(now)
@@ -253,11 +269,11 @@
 }
 
 // probeDue runs on the control goroutine.
-func (a *Admission) probeDue(now time.Time, budget func() float64) bool {
+func (a *Admission) probeDue(now time.Time) bool {
 	if a.gate.IsTold() {
 		return ProbeTold(now, a.probe, a.gate.state.unsure, a.gate.queue.Len() > 0)
 	}
-	return Probe(now, a.probe, budget())
+	return Probe(now, a.probe, a.budget())
 }
 
 // patience returns how long a probe may take.
@@ -268,5 +284,8 @@
 	return probeLost
 }
 
-// Close ends the probes and waits for one that is running.
-func (a *Admission) Close() { a.probes.Close() }
+// Close ends the probes and waits for those that are running.
+func (a *Admission) Close() {
+	a.probes.Close()
+	a.asking.Close()
+}
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -137,9 +137,23 @@
 		Pace:    g.state.pace,
 		Mean:    g.state.mean,
 		Down:    g.down,
+		Cold:    g.IsTold() && g.state.IsCold(now),
+		Wait:    g.waitNow(now),
 	}
 }
 
+// waitNow returns the expected wait of an ordinary request that arrives now, zero unless the target tells of itself.
+func (g Gate) waitNow(now time.Time) time.Duration {
+	if !g.IsTold() {
+		return 0
+	}
+	wait := g.state.Hold(g.limit.Service())
+	if g.queue.Len() > 0 || len(g.runs) >= g.limit.Value() || !g.state.Free(now).IsZero() {
+		wait = max(wait, g.expected(now, Ticket{}))
+	}
+	return wait
+}
+
 // Due returns when WithTick has to run at the latest, or false if nothing waits.
 func (g Gate) Due(now time.Time) (time.Time, bool) {
 	if len(g.displaced) > 0 {
@@ -149,6 +163,9 @@
 	for i := range g.queue.waiters {
 		w := &g.queue.waiters[i]
 		at := earlier(w.patience(), w.ticket.Deadline)
+		if !g.state.IsFresh(now) && !w.asked(now) {
+			at = earlier(at, w.arrived.Add(askPatience))
+		}
 		if due.IsZero() || at.Before(due) {
 			due = at
 		}
@@ -159,6 +176,9 @@
 	return due, !due.IsZero()
 }
 
+// asked tells whether the ticket has waited long enough for a fresh report.
+func (w waiter) asked(now time.Time) bool { return now.Sub(w.arrived) >= askPatience }
+
 // patience returns until when the ticket waits: until its aim has passed, or for queueFor if it states none.
 func (w waiter) patience() time.Time {
 	if w.ticket.Aim.IsZero() {
@@ -195,9 +215,12 @@
 	g = g.withOverdue(now)
 	g.queue = g.queue.clone(now)
 	limit := g.limit.Value()
-	hold := g.hold(t)
+	hold, unsure := g.hold(t), !t.Aim.IsZero() && !g.state.IsFresh(now)
 	if hold == 0 && len(g.runs) < limit && g.state.Free(now).IsZero() && g.queue.Room(now, t.Account, limit) {
 		if first, more := g.queue.Next(now, limit, g.service()); !more || t.Rank.Before(first.Rank) {
+			if unsure {
+				return g.withWaiter(now, t)
+			}
 			return g.withStart(now, t), Verdict{ID: t.ID, Action: Start}
 		}
 	}
@@ -222,10 +245,20 @@
 		g.queue.remove(now, victim.ID)
 		g.displaced = append(slices.Clip(g.displaced), refuse(victim.ID, answer.Busy, wait, "gave way to another account"))
 	}
+	return g.withWaiter(now, t)
+}
+
+// withWaiter changes the queue, which must be a clone.
+func (g Gate) withWaiter(now time.Time, t Ticket) (Gate, Verdict) {
 	g.queue.add(now, t)
 	return g, Verdict{ID: t.ID, Action: Wait}
 }
 
+// Asks tells whether requests wait for a fresh report of the target's pace.
+func (g Gate) Asks(now time.Time) bool {
+	return len(g.queue.waiters) > 0 && len(g.runs) < g.limit.Value() && !g.state.IsFresh(now)
+}
+
 // hold returns how long a ticket with an aim had better wait for the target to become fast.
 func (g Gate) hold(t Ticket) time.Duration {
 	if t.Aim.IsZero() {
@@ -360,9 +393,10 @@
 		}
 		g.queue.remove(now, w.ticket.ID)
 	}
+	g, verdicts = g.withMoves(now, verdicts)
 	for len(g.runs) < g.limit.Value() && g.state.Free(now).IsZero() {
 		t, ok := g.queue.Next(now, g.limit.Value(), g.service())
-		if !ok || g.hold(t) > 0 {
+		if !ok || g.hold(t) > 0 || g.mustAsk(now, t) {
 			break
 		}
 		g.queue.remove(now, t.ID)
@@ -371,3 +405,30 @@
 	}
 	return g, verdicts
 }
+
+// mustAsk tells whether a ticket waits for a fresh report before it starts.
+func (g Gate) mustAsk(now time.Time, t Ticket) bool {
+	if t.Aim.IsZero() || g.state.IsFresh(now) {
+		return false
+	}
+	at := slices.IndexFunc(g.queue.waiters, func(w waiter) bool { return w.ticket.ID == t.ID })
+	return !g.queue.waiters[at].asked(now)
+}
+
+// withMoves sends on the movable tickets that waited for a report which shows that they can't start now.
+func (g Gate) withMoves(now time.Time, verdicts []Verdict) (Gate, []Verdict) {
+	if !g.state.IsFresh(now) {
+		return g, verdicts
+	}
+	for i := 0; i < len(g.queue.waiters); {
+		t := g.queue.waiters[i].ticket
+		hold := g.hold(t)
+		if !t.Move || (hold == 0 && len(g.runs) < g.limit.Value() && g.state.Free(now).IsZero()) {
+			i++
+			continue
+		}
+		verdicts = append(verdicts, refuse(t.ID, answer.Busy, max(hold, g.expected(now, t)), "another target may start the request at once"))
+		g.queue.remove(now, t.ID)
+	}
+	return g, verdicts
+}
--- a/node/target/load.go
+++ b/node/target/load.go
@@ -14,23 +14,25 @@
 	Service time.Duration // recent mean service time
 	Failing float64       // share of recent responses that failed
 	Leaving bool
-	Pace    float64 // time that work takes now as a multiple of the usual one, zero if the target does not tell it
-	Mean    float64 // mean of Pace, zero likewise
-	Down    bool    // the target does not answer
+	Pace    float64       // time that work takes now as a multiple of the usual one, zero if the target does not tell it
+	Mean    float64       // mean of Pace, zero likewise
+	Down    bool          // the target does not answer
+	Cold    bool          // the target is cold or may be
+	Wait    time.Duration // expected wait of a request that arrives now
 }
 
 // String returns the text form of the report.
 func (l Load) String() string {
-	return fmt.Sprintf("%d %d %d %d %.3f %t %.2f %.2f %t", l.Running, l.Queued, l.Limit, l.Service.Microseconds(), l.Failing, l.Leaving, l.Pace, l.Mean, l.Down)
+	return fmt.Sprintf("%d %d %d %d %.3f %t %.2f %.2f %t %t %d", l.Running, l.Queued, l.Limit, l.Service.Microseconds(), l.Failing, l.Leaving, l.Pace, l.Mean, l.Down, l.Cold, l.Wait.Microseconds())
 }
 
 // ParseLoad reads the text form of a report.
 func ParseLoad(s string) (Load, error) {
 	var l Load
-	var us int64
-	if _, err := fmt.Sscanf(s, "%d %d %d %d %f %t %f %f %t", &l.Running, &l.Queued, &l.Limit, &us, &l.Failing, &l.Leaving, &l.Pace, &l.Mean, &l.Down); err != nil {
+	var us, wait int64
+	if _, err := fmt.Sscanf(s, "%d %d %d %d %f %t %f %f %t %t %d", &l.Running, &l.Queued, &l.Limit, &us, &l.Failing, &l.Leaving, &l.Pace, &l.Mean, &l.Down, &l.Cold, &wait); err != nil {
 		return Load{}, fmt.Errorf("target: reading a load report: %w", err)
 	}
-	l.Service = time.Duration(us) * time.Microsecond
+	l.Service, l.Wait = time.Duration(us)*time.Microsecond, time.Duration(wait)*time.Microsecond
 	return l, nil
 }
--- a/node/target/probe.go
+++ b/node/target/probe.go
@@ -52,6 +52,9 @@
 	return s
 }
 
+// IsOpen tells whether a probe of a target that tells of itself is under way.
+func (s ProbeState) IsOpen(now time.Time) bool { return s.open && now.Sub(s.sent) < toldLost }
+
 // Probe tells whether to probe now; budget is a share of the target's time.
 func Probe(now time.Time, s ProbeState, budget float64) bool {
 	since := now.Sub(s.sent)
@@ -68,7 +71,7 @@
 func ProbeTold(now time.Time, s ProbeState, unsure, waited bool) bool {
 	since := now.Sub(s.sent)
 	switch {
-	case s.open && since < toldLost:
+	case s.IsOpen(now):
 		return false
 	case waited:
 		return since >= toldWaited
