Let a request go on when the wait at a target is longer than reported

Cause: the estimate for unknown targets counted as a wait, so that the first requests of a joined target waited there for their whole aim, up to 600 ms, and were then refused; all senders send one to each new target. Change: a request says how long it has to spare: nothing at an unknown target, otherwise the reported wait and 20 ms; a gate that expects more sends it on.

--- a/node/answer/http.go
+++ b/node/answer/http.go
@@ -25,7 +25,7 @@
 	HeaderRank     = Prefix + "Rank"    // ranks of account and route
 	HeaderVersion  = Prefix + "Version" // of the sender's configuration
 	HeaderRepeats  = Prefix + "Repeats" // the request may run more than once
-	HeaderMove     = Prefix + "Move"    // the request may go to another target instead of waiting
+	HeaderSpare    = Prefix + "Spare"   // milliseconds that the request may wait before it goes on to another target
 	HeaderFrom     = Prefix + "From"    // node that sends the request
 	// HeaderLength marks a request without body: an empty body of unknown length can't be told from none otherwise.
 	HeaderLength    = Prefix + "Length"
@@ -79,7 +79,7 @@
 // between are the headers that nodes use among themselves.
 var between = []string{
 	HeaderRun, HeaderDeadline, HeaderLoad, HeaderTook, HeaderQueue, HeaderAccount, HeaderRoute, HeaderKey,
-	HeaderFor, HeaderAim, HeaderRank, HeaderVersion, HeaderRepeats, HeaderMove, HeaderFrom, HeaderLength,
+	HeaderFor, HeaderAim, HeaderRank, HeaderVersion, HeaderRepeats, HeaderSpare, HeaderFrom, HeaderLength,
 }
 
 // StripBetween removes the headers that nodes use among themselves, and leaves those of a dialect.
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -20,8 +20,11 @@
 const (
 	// bulkFar is the time by which a target of another failure domain must be better for a large response.
 	bulkFar = 300 * time.Millisecond
-	// maxMoves bounds the targets that may send a request on because another one may start it at once.
+	// maxMoves bounds the targets that may send a request on because another one may start it sooner.
 	maxMoves = 2
+	// moveSlack is how much longer than expected a request waits at a target before it goes on to another one, which takes
+	// a trip and has surprises of its own.
+	moveSlack = 20 * time.Millisecond
 )
 
 // deadlineGrace lets the gate's own answer to a passed deadline arrive, which says whether the request ran.
@@ -97,8 +100,15 @@
 		return nil, target.Reply{Stages: stages}, err
 	}
 	attempt := Attempt{Number: len(tried) + 1, Choice: choice}
-	// A request for which a wait is expected everywhere waits at the target where that is shortest.
-	call.Move = d.Move && choice.Wait == 0 && len(tried) < maxMoves
+	// The first targets are left if the wait there is longer than the reports said; nobody knows that of unknown targets.
+	call.Spare = -1
+	switch {
+	case !d.Move || len(tried) >= maxMoves:
+	case choice.Reason == Explore:
+		call.Spare = 0
+	default:
+		call.Spare = choice.Wait + moveSlack
+	}
 	first := leg{name: choice.Name, host: host, call: call, attempt: attempt, measured: route.Hedge > 0 && len(tried) == 0}
 	var names []string
 	var reply target.Reply
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -28,8 +28,8 @@
 	if c.Idempotent {
 		h.Set(answer.HeaderRepeats, "yes")
 	}
-	if c.Move {
-		h.Set(answer.HeaderMove, "yes")
+	if c.Spare >= 0 {
+		h.Set(answer.HeaderSpare, milliseconds(c.Spare))
 	}
 	h.Set(answer.HeaderDeadline, milliseconds(c.Deadline.Sub(now)))
 	if !c.Aim.IsZero() {
@@ -49,7 +49,7 @@
 	h := r.Header
 	c := target.Call{
 		Request: r, Route: h.Get(answer.HeaderRoute), Account: h.Get(answer.HeaderAccount), Target: h.Get(answer.HeaderFor),
-		Idempotent: h.Get(answer.HeaderRepeats) != "", Move: h.Get(answer.HeaderMove) != "",
+		Idempotent: h.Get(answer.HeaderRepeats) != "", Spare: -1,
 	}
 	if c.Route == "" {
 		return target.Call{}, MessageError{Header: answer.HeaderRoute}
@@ -63,6 +63,13 @@
 			return target.Call{}, err
 		}
 	}
+	if text := h.Get(answer.HeaderSpare); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(ms >= 0 && ms <= maxDeadlineMS) {
+			return target.Call{}, MessageError{Header: answer.HeaderSpare, Value: text}
+		}
+		c.Spare = time.Duration(ms * float64(time.Millisecond))
+	}
 	if err := decodeControl(h, &c); err != nil {
 		return target.Call{}, err
 	}
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -17,7 +17,7 @@
 	Key        config.Digest // digest of the caller's key; zero on open routes
 	Version    int64         // of the configuration that admitted the request
 	Rank       Rank
-	Move       bool // the request may go to another target instead of waiting at this one
+	Spare      time.Duration // longest wait at this target before the request goes on to another one, negative for any
 	Idempotent bool
 	Aim        time.Time // until when the response is wanted, zero if nothing is stated
 	Deadline   time.Time // until the head of the response has arrived
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -232,8 +232,8 @@
 	switch {
 	case !t.Deadline.IsZero() && now.Add(wait).After(t.Deadline):
 		return g, refuse(t.ID, answer.Late, wait, "the expected wait exceeds the time left")
-	case t.Move:
-		return g, refuse(t.ID, answer.Busy, max(wait, hold), "another target may start the request at once")
+	case g.IsTold() && t.MovesOn(wait):
+		return g, refuse(t.ID, answer.Busy, wait, movedOn)
 	case t.Aim.IsZero() && wait > queueFor, !t.Aim.IsZero() && now.Add(wait).After(t.Aim):
 		return g, refuse(t.ID, answer.Busy, wait, "the expected wait is too long")
 	}
@@ -415,19 +415,25 @@
 	return !g.queue.waiters[at].asked(now)
 }
 
-// withMoves sends on the movable tickets that waited for a report which shows that they can't start now.
+// movedOn is why a request goes on.
+const movedOn = "another target may start the request sooner"
+
+// withMoves sends on the tickets for which a fresh report shows a longer wait than they have to spare.
 func (g Gate) withMoves(now time.Time, verdicts []Verdict) (Gate, []Verdict) {
-	if !g.state.IsFresh(now) {
+	if !g.IsTold() || !g.state.IsFresh(now) {
 		return g, verdicts
 	}
 	for i := 0; i < len(g.queue.waiters); {
 		t := g.queue.waiters[i].ticket
-		hold := g.hold(t)
-		if !t.Move || (hold == 0 && len(g.runs) < g.limit.Value() && g.state.Free(now).IsZero()) {
+		wait := g.hold(t)
+		if wait == 0 && (len(g.runs) >= g.limit.Value() || !g.state.Free(now).IsZero()) {
+			wait = g.expected(now, t)
+		}
+		if !t.MovesOn(wait) {
 			i++
 			continue
 		}
-		verdicts = append(verdicts, refuse(t.ID, answer.Busy, max(hold, g.expected(now, t)), "another target may start the request at once"))
+		verdicts = append(verdicts, refuse(t.ID, answer.Busy, wait, movedOn))
 		g.queue.remove(now, t.ID)
 	}
 	return g, verdicts
--- a/node/target/queue.go
+++ b/node/target/queue.go
@@ -17,11 +17,14 @@
 	Account  string
 	Route    string
 	Rank     Rank
-	Move     bool      // the request may go to another target instead of waiting here
-	Aim      time.Time // the response is wanted by then, zero if nothing is stated
+	Spare    time.Duration // longest expected wait here before the request goes on to another target, negative for any
+	Aim      time.Time     // the response is wanted by then, zero if nothing is stated
 	Deadline time.Time
 }
 
+// MovesOn tells whether the request goes on to another target instead of waiting for the given time.
+func (t Ticket) MovesOn(wait time.Duration) bool { return t.Spare >= 0 && wait > t.Spare }
+
 // Late tells whether a request that starts at the given time is answered after its aim.
 func (t Ticket) Late(start time.Time, service time.Duration) bool {
 	return !t.Aim.IsZero() && start.Add(service).After(t.Aim)
