Pay for repeats that reached a target, and prove the copies of the registry

Cause: a copy skipped removals of items that it never held, so that it could not pass them on, and took the first of two changes of an item in one answer (found by TestCopiesAgree). Each node could repeat one request a second for each route whatever the fleet's bound, up to 450 in 10 s with 15 nodes against a slack of 64. Change: the copy keeps the last change of each item and every removal; targets that state their slots keep their limit when they shed and are rated by their failures; repeats that a target saw are paid, by service, from the node's part of the fleet's slack; idempotent requests are also repeated after other server errors; a route's number of targets bounds those that a request reaches. Conclusion: the bound of repeats follows from the settings and the number of nodes.

--- a/node/answer/http.go
+++ b/node/answer/http.go
@@ -41,6 +41,8 @@
 	After int64  `json:"after,omitempty"` // milliseconds
 	ID    string `json:"id,omitempty"`
 	Text  string `json:"text"`
+	// Reached tells other nodes that a target saw the request.
+	Reached bool `json:"reached,omitempty"`
 }
 
 // Write sends the refusal as JSON in the product's own dialect; id is the request id.
@@ -59,7 +61,7 @@
 		h.Set("WWW-Authenticate", `Bearer realm="verbenapin"`)
 	}
 	w.WriteHeader(d.Status(r))
-	_ = json.NewEncoder(w).Encode(body{Code: r.Code, Run: r.Run, After: r.After.Milliseconds(), ID: id, Text: r.Text})
+	_ = json.NewEncoder(w).Encode(body{Code: r.Code, Run: r.Run, After: r.After.Milliseconds(), ID: id, Text: r.Text, Reached: r.Reached})
 }
 
 // Read returns the refusal in a response from another node, or false if the response comes from its target.
@@ -73,7 +75,7 @@
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxBody)).Decode(&b); err != nil {
 		return Refusal{}, true, fmt.Errorf("answer: reading a refusal: %w", err)
 	}
-	return Refusal{Code: b.Code, Run: run, After: time.Duration(b.After) * time.Millisecond, Text: b.Text}, true, nil
+	return Refusal{Code: b.Code, Run: run, After: time.Duration(b.After) * time.Millisecond, Text: b.Text, Reached: b.Reached}, true, nil
 }
 
 // between are the headers that nodes use among themselves.
--- a/node/answer/refusal.go
+++ b/node/answer/refusal.go
@@ -42,6 +42,8 @@
 	Run   Run
 	After time.Duration // earliest useful time to retry, zero if unknown
 	Text  string
+	// Reached tells that a target saw the request, also if it did not run it.
+	Reached bool
 }
 
 // Error describes the refusal.
@@ -59,6 +61,12 @@
 	return Refusal{Code: code, Run: RunMaybe, Text: text}
 }
 
+// WithReached returns r for a request that a target saw.
+func (r Refusal) WithReached() Refusal {
+	r.Reached = true
+	return r
+}
+
 // WithAfter returns r with the earliest useful time to retry.
 func (r Refusal) WithAfter(after time.Duration) Refusal {
 	r.After = after
--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -25,7 +25,7 @@
 	state := q.Header.Get("Tracestate")
 	var tried []string
 	var failures []answer.Refusal
-	settled := false
+	settled, sent := false, 0
 	for {
 		if !settled {
 			if err := s.confirm(q); err != nil {
@@ -49,13 +49,17 @@
 			q.pass.Settle()
 			settled = true
 		}
-		if err == nil && (reply.Response.StatusCode != http.StatusServiceUnavailable || !q.route.Idempotent) {
+		if err == nil && (reply.Response.StatusCode < http.StatusInternalServerError || !q.route.Idempotent) {
 			return reply, nil
 		}
+		if failure.Reached || failure.Run != answer.RunNo {
+			sent += len(names)
+		}
 		tried = append(tried, names...)
 		failures = append(failures, failure)
 		failed := Attempt{
-			Run: failure.Run, Code: failure.Code, Number: len(tried), Idempotent: q.route.Idempotent, Retrying: IsRetried(state),
+			Run: failure.Run, Code: failure.Code, Number: len(tried), Sent: sent, Most: q.route.Attempts,
+			Reached: failure.Reached, Idempotent: q.route.Idempotent, Retrying: IsRetried(state),
 			Replayable: body.replayable(), Remaining: deadline.Sub(s.now()),
 		}
 		if len(names) == 0 || !s.mayRetry(*q, failed) {
--- a/node/caller/plan.go
+++ b/node/caller/plan.go
@@ -8,8 +8,12 @@
 	"verbenapin.dev/node/answer"
 )
 
-// maxAttempts bounds the targets that one request is offered to.
-const maxAttempts = 3
+const (
+	// maxAttempts bounds the targets that one request is offered to, where its route states no number.
+	maxAttempts = 3
+	// maxRefusals is how many gates may refuse a request, beside the targets that it may be sent to.
+	maxRefusals = 3
+)
 
 // minRemaining is the time below which another attempt cannot end before the deadline.
 const minRemaining = 2 * time.Millisecond
@@ -18,7 +22,10 @@
 type Attempt struct {
 	Run        answer.Run
 	Code       answer.Code
-	Number     int // attempts so far
+	Number     int  // attempts so far
+	Sent       int  // those of them that reached a target
+	Most       int  // targets that the request may be sent to, zero for the default
+	Reached    bool // the attempt reached its target
 	Idempotent bool
 	Retrying   bool // a node higher in the call chain is already retrying
 	Replayable bool // the body can be sent again
@@ -26,15 +33,19 @@
 }
 
 // MayRetry tells whether another attempt is allowed, and whether it must be paid from the retry budget.
-// An attempt that did not run adds no load to a target, so it needs no budget.
+// An attempt that no target saw adds no load, so it needs no budget.
 func MayRetry(a Attempt) (allowed, paid bool) {
+	offers := maxAttempts
+	if a.Most > 0 {
+		offers = a.Most + maxRefusals
+	}
 	switch {
-	case a.Number >= maxAttempts, !a.Replayable, a.Remaining < minRemaining:
+	case a.Number >= offers, a.Most > 0 && a.Sent >= a.Most, !a.Replayable, a.Remaining < minRemaining:
 		return false, false
 	case a.Code == answer.Late, a.Code == answer.Key:
 		return false, false
 	case a.Run == answer.RunNo:
-		return true, false
+		return true, a.Reached
 	default:
 		return a.Idempotent && !a.Retrying, true
 	}
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -25,10 +25,28 @@
 	Decode  func(registry.Item) (registry.Fact, error)
 	Dialect answer.Dialect
 	Ready   string // path on which the platform asks whether the node is ready
+	// Repeats is what the fleet may repeat for a service beyond the routes' shares of its requests.
+	Repeats Repeats
 	// Overage is the part of the rates and bursts of accounts that is admitted beyond them.
 	Overage float64
 }
 
+// Repeats are a number of repeated requests of a service in any time of the given length, of all nodes together.
+type Repeats struct {
+	Number float64
+	Within time.Duration
+}
+
+// repeatBurst is how many repeats a node can save up. Failures come in groups, but all nodes may use what they saved at
+// the same moment.
+const repeatBurst = 2
+
+// allowance returns this node's part of the fleet's repeats; half of them is left for nodes that are not listed as yet.
+func (n *Node) allowance() peer.Allowance {
+	r, nodes := n.platform.Repeats, n.members.Snapshot().Nodes()
+	return peer.Allowance{Rate: r.Number / 2 / r.Within.Seconds() / float64(max(nodes, 1)), Burst: repeatBurst}
+}
+
 // facts are what the registry says besides the configuration; the control goroutine changes them.
 type facts struct {
 	targets registry.Targets
@@ -163,7 +181,7 @@
 	n.callers.Dialect, n.callers.Origin = d, func() string { return n.live().service }
 	n.gate.Dialect, n.peers.Dialect = d, d
 	n.gate.Told = n.admission.Told
-	n.dispatcher.Move = true
+	n.dispatcher.Move, n.dispatcher.Fleet = true, n.allowance
 	n.client.From = n.settings.Name
 	n.notices = peer.NewNotices(n.listeners.notices, n.loop, n.clock, n.boot, n.admission.Target, n.dispatcher.Notice,
 		func(err error) { n.failed("exchanging notices", err) })
--- a/node/instance/view.go
+++ b/node/instance/view.go
@@ -105,6 +105,9 @@
 	return row, ok
 }
 
+// Nodes returns the number of nodes.
+func (v View) Nodes() int { return len(v.hosts) }
+
 // Hosts returns a row of each node in the order of the nodes' names.
 func (v View) Hosts() []Instance {
 	rows := slices.Collect(maps.Values(v.hosts))
--- a/node/peer/board.go
+++ b/node/peer/board.go
@@ -31,6 +31,8 @@
 	// Three notices in a row are lost only when something is wrong with the node or the way to it.
 	silentAfter = 3 * noticeEvery
 	silentCost  = 2 * time.Second // such a target comes after all others
+	// failureCost is what a failure costs beside the time until it is known: the aim is missed, or the request lost.
+	failureCost = time.Second
 	// coldCost is what the slowness of a cold target costs a request, which its pace does not tell.
 	coldCost   = 100 * time.Millisecond
 	firstTrip  = 200 * time.Microsecond
@@ -379,6 +381,7 @@
 			cost += time.Duration(float64(e.load.Service) * paceOf(e.load, fresh))
 		}
 	}
+	cost += time.Duration(e.load.Failing * float64(failureCost))
 	if e.load.Cold {
 		cost += coldCost
 	}
--- a/node/peer/budget.go
+++ b/node/peer/budget.go
@@ -12,13 +12,27 @@
 type Budget struct {
 	share  float64
 	rate   float64
+	burst  float64
 	tokens float64
 	last   time.Time
 }
 
+// Allowance is what a node may repeat beyond a share of its calls, where the fleet as a whole has a bound.
+type Allowance struct {
+	Rate  float64 // repeats a second
+	Burst float64 // repeats that can be saved up
+}
+
 // NewBudget returns the budget for retries: a share of the calls, and a small rate so that a quiet route can retry.
 func NewBudget(now time.Time, share float64) Budget {
-	return Budget{share: share, rate: budgetRate, tokens: 1, last: now}
+	return Budget{share: share, rate: budgetRate, burst: budgetBurst, tokens: 1, last: now}
+}
+
+// WithAllowance returns the budget under another allowance.
+func (b Budget) WithAllowance(a Allowance) Budget {
+	b.rate, b.burst = a.Rate, a.Burst
+	b.tokens = min(b.tokens, b.burst)
+	return b
 }
 
 // WithShare returns the budget under another share.
@@ -30,7 +44,7 @@
 // WithCall returns the budget after a first attempt.
 func (b Budget) WithCall(now time.Time) Budget {
 	b = b.withTime(now)
-	b.tokens = min(b.tokens+b.share, budgetBurst)
+	b.tokens = min(b.tokens+b.share, b.burst)
 	return b
 }
 
@@ -47,7 +61,7 @@
 func (b Budget) withTime(now time.Time) Budget {
 	if d := now.Sub(b.last); d > 0 {
 		// The rate saves up one retry at most; more comes from calls only.
-		b.tokens = max(b.tokens, min(b.tokens+b.rate*d.Seconds(), 1))
+		b.tokens = max(b.tokens, min(b.tokens+b.rate*d.Seconds(), 1, b.burst))
 		b.last = now
 	}
 	return b
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -54,6 +54,9 @@
 
 	// Move lets targets that can't start a request at once send it on; it must not change after the first request.
 	Move bool
+	// Fleet bounds the repeats of a service, of which all nodes together may send a number; nil leaves the routes to
+	// their own budgets. It must not change after the first request.
+	Fleet func() Allowance
 
 	self       Self
 	loop       *loop.Loop
@@ -139,7 +142,7 @@
 		if len(tried) > 0 {
 			return
 		}
-		d.budgets[route.Name] = d.budget(now, route.Name).WithCall(now)
+		d.budgets[d.payer(route)] = d.budget(now, route).WithCall(now)
 		if route.Hedge > 0 {
 			h := d.hedge(now, route).WithCall(now)
 			d.hedges[route.Name] = h
@@ -298,16 +301,27 @@
 func (d *Dispatcher) Retry(route config.Route) bool {
 	allowed := false
 	err := d.loop.Call(context.Background(), func(now time.Time) {
-		d.budgets[route.Name], allowed = d.budget(now, route.Name).WithShare(route.Retries).WithRetry(now)
+		d.budgets[d.payer(route)], allowed = d.budget(now, route).WithShare(route.Retries).WithRetry(now)
 	})
 	return err == nil && allowed
 }
 
-func (d *Dispatcher) budget(now time.Time, route string) Budget {
-	b, ok := d.budgets[route]
+// payer returns whose budget pays for a repeat of the route: the service's where the fleet has a bound.
+func (d *Dispatcher) payer(route config.Route) string {
+	if d.Fleet != nil {
+		return route.Service
+	}
+	return route.Name
+}
+
+func (d *Dispatcher) budget(now time.Time, route config.Route) Budget {
+	b, ok := d.budgets[d.payer(route)]
 	if !ok {
 		b = NewBudget(now, defaultRetries)
 	}
+	if d.Fleet != nil {
+		b = b.WithShare(route.Retries).WithAllowance(d.Fleet())
+	}
 	return b
 }
 
--- a/node/peer/hedge.go
+++ b/node/peer/hedge.go
@@ -21,7 +21,7 @@
 
 // NewHedge returns the state of a route that hedges at most the given share of its calls.
 func NewHedge(now time.Time, share float64) Hedge {
-	return Hedge{budget: Budget{share: share, last: now}}
+	return Hedge{budget: Budget{share: share, burst: budgetBurst, last: now}}
 }
 
 // WithShare returns the state under another share.
--- a/node/registry/copy.go
+++ b/node/registry/copy.go
@@ -62,13 +62,7 @@
 	if n.Revision == c.revision {
 		return c, nil, nil
 	}
-	var changed []Item
-	for _, i := range n.Items {
-		if old, ok := c.items[i.Key]; (ok && old.Revision >= i.Revision) || (!ok && i.Gone) {
-			continue
-		}
-		changed = append(changed, i)
-	}
+	changed := c.newer(n.Items)
 	if n.After == 0 {
 		changed = append(changed, c.missing(n)...)
 		c.floor = max(c.floor, n.Revision)
@@ -77,6 +71,22 @@
 	return c.withItems(changed), changed, nil
 }
 
+// newer returns the last change of each item that the copy does not hold. Removals of unknown items count as well, since
+// other nodes may hold these.
+func (c Copy) newer(items []Item) []Item {
+	last := make(map[string]int64, len(items))
+	for _, i := range items {
+		last[i.Key] = max(last[i.Key], i.Revision)
+	}
+	var changed []Item
+	for _, i := range items {
+		if i.Revision == last[i.Key] && i.Revision > c.items[i.Key].Revision {
+			changed = append(changed, i)
+		}
+	}
+	return changed
+}
+
 // withConfirmation keeps the later confirmation. A gap between two of them is an outage of the registry.
 func (c Copy) withConfirmation(at time.Time, age time.Duration) Copy {
 	if age < 0 {
--- /dev/null
+++ b/node/registry/main_test.go
@@ -0,0 +1,26 @@
+package registry
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain fixes the generated inputs and guards against goroutines that outlive a closed feed.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
--- /dev/null
+++ b/node/registry/targets_test.go
@@ -0,0 +1,47 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/instance"
+)
+
+// TestRemoval guards against targets that are dropped because they could not renew their entries during an outage, and
+// against targets that stay in use after they are gone.
+func TestRemoval(t *testing.T) {
+	live := instance.Instance{Name: "i", State: instance.Live}
+	leaving := instance.Instance{Name: "i", State: instance.Leaving}
+	cases := map[string]struct {
+		target   instance.Instance
+		returned time.Time // of the registry
+		removed  int       // ms
+		after    int       // ms, when the list is asked for
+		want     bool
+	}{
+		"no outage":                  {target: live, removed: 1000, after: 1000},
+		"long after an outage":       {target: live, returned: at(0), removed: 3000, after: 3000},
+		"lapsed in an outage":        {target: live, returned: at(1000), removed: 1000, after: 3000, want: true},
+		"did not return":             {target: live, returned: at(1000), removed: 1000, after: 3300},
+		"removed after the grace":    {target: live, returned: at(1000), removed: 3500, after: 3500},
+		"had announced that it goes": {target: leaving, returned: at(1000), removed: 1000, after: 1000},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			targets := Targets{}.WithTarget("k", tc.target).WithRemoval(at(tc.removed), "k", tc.returned)
+			targets, _ = targets.WithTick(at(tc.after))
+			require.Equal(t, tc.want, len(targets.List()) == 1)
+		})
+	}
+}
+
+// TestReturn guards against the grace of a lapsed entry ending a target whose entry is back.
+func TestReturn(t *testing.T) {
+	live := instance.Instance{Name: "i", State: instance.Live}
+	targets := Targets{}.WithTarget("k", live).WithRemoval(at(1000), "k", at(1000)).WithTarget("k", live)
+	targets, changed := targets.WithTick(at(60_000))
+	require.False(t, changed)
+	require.Len(t, targets.List(), 1)
+}
--- a/node/target/limit.go
+++ b/node/target/limit.go
@@ -15,6 +15,8 @@
 	toldWeight  = 32  // the same for targets that tell how fast they work now, whose other variation is that of requests
 	// The last four responses or so count, so that a target that recovered is soon used again.
 	failWeight = 4
+	// Targets that state their slots are not relieved by a lower limit when they fail, so that their ratio may be exact.
+	toldFailWeight = 16
 	// One failure among four responses is common in applications; two or more point to a failing target.
 	failingCut = 0.3
 	// Within this time without a response a target can be replaced unnoticed, so that the limit is halved.
@@ -86,6 +88,13 @@
 // Failing returns the share of recent responses that failed.
 func (l Limit) Failing() float64 { return l.failing }
 
+func (l Limit) failWeight() float64 {
+	if l.told {
+		return toldFailWeight
+	}
+	return failWeight
+}
+
 // WithSlots returns the limit under a new upper bound.
 func (l Limit) WithSlots(slots int) Limit {
 	l.slots = max(slots, 1)
@@ -148,7 +157,7 @@
 // WithGood returns the limit after a response; full tells that the limit was reached while the request ran.
 func (l Limit) WithGood(now, started time.Time, latency time.Duration, full bool) Limit {
 	l.heard = now
-	l.failing -= l.failing / failWeight
+	l.failing -= l.failing / l.failWeight()
 	if l.told {
 		return l.withTold(now, latency)
 	}
@@ -293,7 +302,7 @@
 // WithFailed returns the limit after a failed response.
 func (l Limit) WithFailed(now time.Time, latency time.Duration) Limit {
 	l.heard = now
-	l.failing += (1 - l.failing) / failWeight
+	l.failing += (1 - l.failing) / l.failWeight()
 	if !l.told && l.failing >= failingCut && 2*latency < l.base {
 		return l.withCut(now)
 	}
@@ -303,9 +312,9 @@
 // WithShed returns the limit after the target shed a request or broke its connection.
 func (l Limit) WithShed(now time.Time) Limit {
 	l.heard = now
-	l.failing += (1 - l.failing) / failWeight
+	l.failing += (1 - l.failing) / l.failWeight()
 	if l.told {
-		l.cut, l.value = now, max(l.value*3/4, 1)
+		// The gate keeps such a target below its slots, so that it fails for another reason than load.
 		return l
 	}
 	if l.paced {
@@ -321,6 +330,6 @@
 // WithRefused returns the limit after the target refused a connection.
 func (l Limit) WithRefused(now time.Time) Limit {
 	l.heard = now
-	l.failing += (1 - l.failing) / failWeight
+	l.failing += (1 - l.failing) / l.failWeight()
 	return l.WithRestart(now)
 }
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -134,9 +134,9 @@
 	var err error
 	switch {
 	case res.StatusCode == http.StatusMisdirectedRequest && d.Target != "":
-		err = answer.NotRun(answer.Leaving, "another target has the address")
+		err = answer.NotRun(answer.Leaving, "another target has the address").WithReached()
 	case d.NotRun(res):
-		err = answer.NotRun(answer.Busy, "the target did not run the request")
+		err = answer.NotRun(answer.Busy, "the target did not run the request").WithReached()
 	case d.Echo && res.Header.Get(d.ID) != c.Request.Header.Get(d.ID):
 		err = SendError{Err: ForeignError{Reason: "it has the id of another request"}, Wrote: true}
 	case d.Stamp != "" && res.StatusCode < http.StatusMultipleChoices && res.Header.Get(d.Stamp) == "":
