--- a/node/registry/copy_test.go
+++ b/node/registry/copy_test.go
@@ -169,9 +169,9 @@
 // keeps a target whose removal was forgotten.
 func TestRemovalsBounded(t *testing.T) {
 	behind := Copy{}.must(t, News{Revision: 1, Items: []Item{put("first", 1)}})
-	c, revision := behind, int64(1)
+	c := behind
 	c = c.must(t, News{After: 1, Revision: 2, Items: []Item{removed("first", 2)}})
-	for revision = 3; revision < 10_000; revision += 2 {
+	for revision := int64(3); revision < 10_000; revision += 2 {
 		key := fmt.Sprint("t", revision)
 		c = c.must(t, News{After: revision - 1, Revision: revision, Items: []Item{put(key, revision)}})
 		c = c.must(t, News{After: revision, Revision: revision + 1, Items: []Item{removed(key, revision+1)}})
