--- a/node/caller/conn.go
+++ b/node/caller/conn.go
@@ -123,10 +123,25 @@
 		if body != nil && !body.wait(c.ctx) {
 			return
 		}
+		if r.Close {
+			c.awaitEnd()
+			break
+		}
 	}
 	<-turn // the connection closes after the last response
 }
 
+// awaitEnd notices a caller that goes away before the response to its last request; what it sends behind that request is
+// not read.
+func (c *conn) awaitEnd() {
+	c.raw.left = 1
+	_, err := c.reader.Peek(1)
+	var network net.Error
+	if err != nil && (!errors.As(err, &network) || !network.Timeout()) {
+		c.cancel()
+	}
+}
+
 // mayRead begins the wait for another request, or returns false if the connection is to be closed.
 func (c *conn) mayRead() bool {
 	c.mu.Lock()
--- /dev/null
+++ b/node/caller/conn_test.go
@@ -0,0 +1,343 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/target"
+)
+
+// site is a server on loopback whose targets are a function.
+type site struct {
+	*Server
+	t      *testing.T
+	addr   string
+	bounds config.Client
+	mu     sync.Mutex
+	faults bytes.Buffer
+}
+
+// newSite serves requests by do until the test ends.
+func newSite(t *testing.T, bounds config.Client, do func(r *http.Request) (*http.Response, error)) *site {
+	t.Helper()
+	s := &site{t: t, bounds: bounds}
+	tree := config.NewTree(1, config.Fleet{Client: bounds}, []config.Route{{
+		Name: "read", Host: "app.example", Path: "/", Service: "app", Open: true, Idempotent: true, Deadline: time.Minute,
+	}}, nil)
+	try := func(call target.Call, _ config.Route, _ []string, _ func() *http.Request) ([]string, target.Reply, error) {
+		res, err := do(call.Request)
+		return []string{"a"}, target.Reply{Response: res}, err
+	}
+	s.Server = NewServer(time.Now, func() (config.Tree, error) { return tree, nil }, nil,
+		Tries{Try: try, Retry: func(config.Route) bool { return false }}, silent(), log.New(s, "", 0))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.addr = l.Addr().String()
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = s.Serve(l) })
+	t.Cleanup(func() {
+		s.Close()
+		serving.Wait()
+	})
+	return s
+}
+
+// Write keeps what the server reports.
+func (s *site) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Write(p)
+}
+
+// dial returns a connection of a caller.
+func (s *site) dial() net.Conn {
+	c, err := net.Dial("tcp", s.addr)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: app.example\r\n\r\n" }
+
+// text returns a response with a body.
+func text(body string) (*http.Response, error) {
+	return &http.Response{
+		StatusCode: http.StatusOK, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+		Header: http.Header{"Content-Length": {fmt.Sprint(len(body))}},
+	}, nil
+}
+
+func bodyOf(t *testing.T, br *bufio.Reader) string {
+	t.Helper()
+	res, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	return fmt.Sprint(res.StatusCode, " ", string(body))
+}
+
+// TestAhead guards against requests sent ahead that wait for the responses before them, and against responses in another
+// order than the requests: the first request ends only when the last one runs.
+func TestAhead(t *testing.T) {
+	last := make(chan struct{})
+	s := newSite(t, config.Client{}, func(r *http.Request) (*http.Response, error) {
+		if r.URL.Path == "/5" {
+			close(last)
+		}
+		select {
+		case <-last:
+			return text(r.URL.Path)
+		case <-r.Context().Done():
+			return nil, answer.MaybeRun(answer.Lost, "cancelled")
+		}
+	})
+	c := s.dial()
+	var all strings.Builder
+	for n := 1; n <= 5; n++ {
+		all.WriteString(get(fmt.Sprint("/", n)))
+	}
+	_, err := io.WriteString(c, all.String())
+	require.NoError(t, err)
+	br := bufio.NewReader(c)
+	for n := 1; n <= 5; n++ {
+		require.Equal(t, fmt.Sprint("200 /", n), bodyOf(t, br))
+	}
+}
+
+// TestGone guards against requests that go on running after their caller has closed the connection.
+func TestGone(t *testing.T) {
+	running, cancelled := make(chan struct{}, 2), make(chan struct{}, 2)
+	s := newSite(t, config.Client{}, func(r *http.Request) (*http.Response, error) {
+		running <- struct{}{}
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+		return nil, answer.MaybeRun(answer.Lost, "cancelled")
+	})
+	c := s.dial()
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	require.NoError(t, err)
+	<-running
+	<-running
+	require.NoError(t, c.Close())
+	<-cancelled
+	<-cancelled
+}
+
+// TestRequests guards against requests that the library's own server would refuse or answer otherwise.
+func TestRequests(t *testing.T) {
+	echo := func(r *http.Request) (*http.Response, error) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return nil, answer.MaybeRun(answer.Lost, err.Error())
+		}
+		return text(fmt.Sprintf("%s %s %d", r.Method, body, r.ContentLength))
+	}
+	long := strings.Repeat("x", 100_000)
+	cases := map[string]struct {
+		request string
+		want    []string // the responses, an empty one for the end of the connection
+	}{
+		"body":              {request: "POST / HTTP/1.1\r\nHost: app.example\r\nContent-Length: 3\r\n\r\nabc" + get("/"), want: []string{"200 POST abc 3", "200 GET  0"}},
+		"chunks":            {request: "POST / HTTP/1.1\r\nHost: app.example\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + get("/"), want: []string{"200 POST abc -1", "200 GET  0"}},
+		"long body":         {request: "POST / HTTP/1.1\r\nHost: app.example\r\nContent-Length: 100000\r\n\r\n" + long + get("/"), want: []string{"200 POST " + long + " 100000", "200 GET  0"}},
+		"long chunks":       {request: "POST / HTTP/1.1\r\nHost: app.example\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + long + "\r\n0\r\n\r\n" + get("/"), want: []string{"200 POST " + long + " -1", "200 GET  0"}},
+		"asks to close":     {request: "GET / HTTP/1.1\r\nHost: app.example\r\nConnection: close\r\n\r\n" + get("/"), want: []string{"200 GET  0", ""}},
+		"older version":     {request: "GET / HTTP/1.0\r\nHost: app.example\r\n\r\n", want: []string{"200 GET  0", ""}},
+		"no host":           {request: "GET / HTTP/1.1\r\n\r\n", want: []string{"400 ", ""}},
+		"no request":        {request: "hello\r\n\r\n", want: []string{"400 ", ""}},
+		"bad header":        {request: "GET / HTTP/1.1\r\nHost: app.example\r\nX-A: a\x00b\r\n\r\n", want: []string{"400 ", ""}},
+		"bad after good":    {request: get("/") + "GET / HTTP/1.1\r\n\r\n", want: []string{"200 GET  0", "400 ", ""}},
+		"length and chunks": {request: "POST / HTTP/1.1\r\nHost: app.example\r\nContent-Length: 30\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", want: []string{"200 POST abc -1"}},
+		"two lengths":       {request: "POST / HTTP/1.1\r\nHost: app.example\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", want: []string{"400 ", ""}},
+		"large head":        {request: "GET / HTTP/1.1\r\nHost: app.example\r\nX-A: " + strings.Repeat("a", 2*readHeadBytes) + "\r\n\r\n", want: []string{"431 ", ""}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, config.Client{}, echo)
+			c := s.dial()
+			go func() { _, _ = io.WriteString(c, tc.request) }()
+			br := bufio.NewReader(c)
+			for _, want := range tc.want {
+				if want == "" {
+					// The end may be a reset, since the server does not read what follows a refusal.
+					_, err := br.ReadByte()
+					require.Error(t, err)
+					continue
+				}
+				require.Equal(t, want, bodyOf(t, br))
+			}
+		})
+	}
+}
+
+// TestContinue guards against a body that is asked for before a target wants it, and against a connection that is used
+// again although the body may still follow.
+func TestContinue(t *testing.T) {
+	head := "POST /%s HTTP/1.1\r\nHost: app.example\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+	s := newSite(t, config.Client{}, func(r *http.Request) (*http.Response, error) {
+		if r.URL.Path == "/refuse" {
+			return nil, answer.NotRun(answer.Busy, "full")
+		}
+		body, err := io.ReadAll(r.Body)
+		require.NoError(t, err)
+		return text(string(body))
+	})
+	c := s.dial()
+	_, _ = fmt.Fprintf(c, head, "take")
+	br := bufio.NewReader(c)
+	line, err := br.ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 100 Continue\r\n", line)
+	_, err = br.ReadString('\n')
+	require.NoError(t, err)
+	_, _ = io.WriteString(c, "abc")
+	require.Equal(t, "200 abc", bodyOf(t, br))
+
+	_, _ = fmt.Fprintf(c, head, "refuse")
+	res, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+	_, err = io.Copy(io.Discard, res.Body)
+	require.NoError(t, err)
+	_, err = br.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// TestBrokenResponse guards against a response that broke off and looks complete.
+func TestBrokenResponse(t *testing.T) {
+	broken := io.MultiReader(strings.NewReader("half"), errReader{})
+	cases := map[string]http.Header{
+		"of known length":   {"Content-Length": {"8"}},
+		"of unknown length": {},
+	}
+	for name, h := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, config.Client{}, func(*http.Request) (*http.Response, error) {
+				length := int64(-1)
+				if len(h) > 0 {
+					length = 8
+				}
+				return &http.Response{StatusCode: 200, ContentLength: length, Header: h.Clone(), Body: io.NopCloser(broken)}, nil
+			})
+			c := s.dial()
+			_, _ = io.WriteString(c, get("/"))
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			_, err = io.ReadAll(res.Body)
+			require.Error(t, err)
+		})
+	}
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// TestLeaving guards against requests sent ahead that are read and lost when the node asks callers to leave.
+func TestLeaving(t *testing.T) {
+	second := make(chan struct{})
+	s := newSite(t, config.Client{}, func(r *http.Request) (*http.Response, error) {
+		if r.URL.Path == "/2" {
+			close(second)
+		}
+		<-second
+		return text(r.URL.Path)
+	})
+	s.Leave()
+	c := s.dial()
+	_, _ = io.WriteString(c, get("/1")+get("/2"))
+	br := bufio.NewReader(c)
+	for n := 1; n <= 2; n++ {
+		res, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, res.Body)
+		require.Equal(t, n == 2, res.Close, "response %d", n)
+	}
+	_, err := br.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// TestShutdown guards against a shutdown that cuts a running request, waits for an idle connection, or takes new ones.
+func TestShutdown(t *testing.T) {
+	running, goOn := make(chan struct{}), make(chan struct{})
+	s := newSite(t, config.Client{}, func(r *http.Request) (*http.Response, error) {
+		close(running)
+		<-goOn
+		return text("done")
+	})
+	idle, busy := s.dial(), s.dial()
+	_, _ = io.WriteString(busy, get("/"))
+	<-running
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	_, err := bufio.NewReader(idle).ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	select {
+	case <-ended:
+		require.Fail(t, "the shutdown did not wait")
+	default:
+	}
+	close(goOn)
+	require.Equal(t, "200 done", bodyOf(t, bufio.NewReader(busy)))
+	require.NoError(t, <-ended)
+	_, err = net.Dial("tcp", s.addr)
+	require.Error(t, err)
+}
+
+// TestTimes guards against callers that hold a connection without a request, or a request without its end.
+func TestTimes(t *testing.T) {
+	const short = 30 * time.Millisecond
+	cases := map[string]struct {
+		bounds config.Client
+		send   string
+		want   string
+	}{
+		"idle":      {bounds: config.Client{Idle: short}},
+		"half head": {bounds: config.Client{Idle: time.Minute, Wait: short}, send: "GET / HTTP/1.1\r\nHost: a"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, tc.bounds, func(*http.Request) (*http.Response, error) { return text("") })
+			c := s.dial()
+			_, _ = io.WriteString(c, tc.send)
+			got, err := io.ReadAll(c)
+			require.NoError(t, err)
+			require.Equal(t, tc.want, string(got))
+		})
+	}
+}
+
+// TestSecond guards against callers of HTTP/2 without TLS being refused.
+func TestSecond(t *testing.T) {
+	s := newSite(t, config.Client{}, func(r *http.Request) (*http.Response, error) { return text(r.URL.Path) })
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	for range 2 {
+		r, err := http.NewRequest(http.MethodGet, "http://"+s.addr+"/x", nil)
+		require.NoError(t, err)
+		r.Host = "app.example"
+		res, err := transport.RoundTrip(r)
+		require.NoError(t, err)
+		body, err := io.ReadAll(res.Body)
+		require.NoError(t, err)
+		_ = res.Body.Close()
+		require.Equal(t, 2, res.ProtoMajor)
+		require.Equal(t, "/x", string(body))
+	}
+}
--- a/node/caller/response.go
+++ b/node/caller/response.go
@@ -272,16 +272,16 @@
 
 // abort breaks the connection off.
 func (w *response) abort() {
+	// What was written is sent, so that the caller sees how far the response came before it broke off.
+	if w.status != 0 && w.broken == nil {
+		_ = w.conn.writer.Flush()
+	}
 	if w.broken == nil {
 		w.broken = BrokenError{}
 	}
 	if w.body != nil {
 		_ = w.body.release()
 	}
-	// What was written is sent, so that the caller sees how far the response came before it broke off.
-	if w.status != 0 && w.await() == nil {
-		_ = w.conn.writer.Flush()
-	}
 	w.conn.close(true)
 }
 
