--- a/node/peer/board.go
+++ b/node/peer/board.go
@@ -78,6 +78,7 @@
 	Name   string
 	Reason Reason
 	Wait   time.Duration
+	Last   bool // no other target can be tried
 }
 
 type entry struct {
@@ -451,7 +452,7 @@
 		c := candidates[i]
 		score, wait := b.cost(now, c, own)
 		if _, explore, _ := b.state(now, c.Name); explore && r.IntN(exploreOne) == 0 {
-			return Choice{Name: c.Name, Reason: Explore, Wait: wait}, true
+			return Choice{Name: c.Name, Reason: Explore, Wait: wait, Last: nearSeen+farSeen == 1}, true
 		}
 		score = time.Duration(float64(score)*(1+jitter*(2*r.Float64()-1))) + b.fixed(now, c, own)
 		if best < 0 || score < bestScore {
@@ -459,7 +460,7 @@
 		}
 	}
 	c := candidates[best]
-	choice := Choice{Name: c.Name, Reason: Least, Wait: bestWait}
+	choice := Choice{Name: c.Name, Reason: Least, Wait: bestWait, Last: nearSeen+farSeen == 1}
 	if _, explore, _ := b.state(now, c.Name); explore {
 		choice.Reason = Explore
 	} else if c.Domain != own && nearSeen > 0 {
@@ -484,7 +485,7 @@
 	if best == nil {
 		return Choice{Reason: reason}, false
 	}
-	return Choice{Name: best.name, Reason: Explore}, true
+	return Choice{Name: best.name, Reason: Explore, Last: true}, true
 }
 
 // excluded returns why the candidate can't be chosen, or an empty reason.
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -106,7 +106,7 @@
 	// The first targets are left if the wait there is longer than the reports said; nobody knows that of unknown targets.
 	call.Spare = -1
 	switch {
-	case !d.Move || len(tried) >= maxMoves:
+	case !d.Move || choice.Last || len(tried) >= maxMoves:
 	case choice.Reason == Explore:
 		call.Spare = 0
 	default:
--- a/node/registry/feed.go
+++ b/node/registry/feed.go
@@ -79,6 +79,7 @@
 
 	// Owned by the control goroutine.
 	calling bool
+	first   time.Time // when the first read brought a copy
 	next    time.Time // earliest start of the next call
 	whole   bool      // the next call reads the whole registry, because history is missing
 	heard   time.Time // last news from another node
@@ -191,7 +192,11 @@
 // Standing returns what the decision to read depends on; it runs on the control goroutine.
 func (f *Feed) Standing(now time.Time) Standing {
 	own := Member{Name: f.s.Name, Domain: f.s.Domain}
-	s := Standing{Age: f.Snapshot().Age(now), Heard: Unconfirmed}
+	held := f.Snapshot()
+	s := Standing{Age: held.Age(now), Heard: Unconfirmed}
+	if s.Age == Unconfirmed && held.Revision() > 0 {
+		s.Age = now.Sub(f.first) // the readers are about to confirm what the first read gave
+	}
 	for i, m := range Order(append(f.s.Members(now), own)) {
 		if m.Name == f.s.Name {
 			s.Rank = i
@@ -266,6 +271,9 @@
 			return
 		}
 		f.whole = f.whole && news.After > 0
+		if f.first.IsZero() {
+			f.first = now
+		}
 		changed, err := f.adopt(at, news)
 		if err != nil {
 			f.whole = true
