Know the pace of a cold target, refuse early, and read the whole registry at a restart

Cause: after a loss of power all targets tell a pace of 2 for seconds, and of 8 for a while; gates took that for a slow time that would end, and nothing started until the targets were warm: of 148 requests in 2 s none was served in time. Requests that could not be in time waited for their whole aim. A fresh node took a cached copy with targets of before.

--- a/node/answer/http.go
+++ b/node/answer/http.go
@@ -22,6 +22,7 @@
 	HeaderKey      = Prefix + "Key"
 	HeaderFor      = Prefix + "For"     // target that the attempt is meant for
 	HeaderAim      = Prefix + "Aim"     // milliseconds until the response is wanted
+	HeaderGoal     = Prefix + "Goal"    // milliseconds from the caller's request to the time when the response is wanted
 	HeaderRank     = Prefix + "Rank"    // ranks of account and route
 	HeaderVersion  = Prefix + "Version" // of the sender's configuration
 	HeaderRepeats  = Prefix + "Repeats" // the request may run more than once
@@ -81,7 +82,7 @@
 // between are the headers that nodes use among themselves.
 var between = []string{
 	HeaderRun, HeaderDeadline, HeaderLoad, HeaderTook, HeaderQueue, HeaderAccount, HeaderRoute, HeaderKey,
-	HeaderFor, HeaderAim, HeaderRank, HeaderVersion, HeaderRepeats, HeaderSpare, HeaderFrom, HeaderLength,
+	HeaderFor, HeaderAim, HeaderGoal, HeaderRank, HeaderVersion, HeaderRepeats, HeaderSpare, HeaderFrom, HeaderLength,
 }
 
 // StripBetween removes the headers that nodes use among themselves, and leaves those of a dialect.
--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -37,7 +37,7 @@
 			Rank: q.rank, Idempotent: q.route.Idempotent, Deadline: deadline,
 		}
 		if q.route.Aim > 0 {
-			call.Aim = q.begun.Add(q.route.Aim)
+			call.Aim, call.Goal = q.begun.Add(q.route.Aim), q.route.Aim
 		}
 		if len(tried) > 0 {
 			call.Request.Header.Set("Tracestate", MarkRetried(state))
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -86,6 +86,7 @@
 
 func newNode(s Settings, p Policy, platform *Platform, log io.Writer) (*Node, error) {
 	n := &Node{settings: s, policy: p, platform: platform, boot: rand.Uint32(), clock: clock.New(), leaving: make(chan struct{})}
+	n.facts.known = make(chan struct{})
 	if !s.Alone() && !s.Plain {
 		identity, err := peer.NewIdentity(s.Name, s.Cert, s.Key, s.CA)
 		if err != nil {
@@ -203,7 +204,10 @@
 // servers returns the listeners' servers by name.
 func (n *Node) servers() map[string]func(ctx context.Context) error {
 	m := map[string]func(ctx context.Context) error{
-		"caller":   func(context.Context) error { return n.callers.Serve(n.listeners.caller) },
+		"caller": func(ctx context.Context) error {
+			n.awaitFacts(ctx)
+			return n.callers.Serve(n.listeners.caller)
+		},
 		"operator": n.operators.Serve,
 	}
 	if n.readiness != nil {
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,9 @@
 	Decode  func(registry.Item) (registry.Fact, error)
 	Dialect answer.Dialect
 	Ready   string // path on which the platform asks whether the node is ready
+	First   bool   // the whole fleet starts for the first time
+	// ColdShare is how many requests a cold target gets, as a multiple of the pace that it states.
+	ColdShare float64
 	// Repeats is what the fleet may repeat for a service beyond the routes' shares of its requests.
 	Repeats Repeats
 	// Overage is the part of the rates and bursts of accounts that is admitted beyond them.
@@ -51,6 +55,8 @@
 type facts struct {
 	targets registry.Targets
 	domains map[string]string // failure domains taken out, by the keys of their entries
+	known   chan struct{}     // closed when a configuration and targets are known
+	once    sync.Once
 	current atomic.Pointer[[]string]
 }
 
@@ -85,7 +91,7 @@
 func (n *Node) feedSettings() registry.Settings {
 	return registry.Settings{
 		Name: n.settings.Name, Domain: n.settings.Domain, Loop: n.loop, Clock: n.clock,
-		Source: n.platform.Source, Decode: n.platform.Decode,
+		Source: n.platform.Source, Cached: n.platform.First, Decode: n.platform.Decode,
 		Members: n.readers, Changed: n.onRegistry, Failed: n.failed,
 		Tell: func(ctx context.Context, addr string, t registry.Telling) (int64, error) {
 			return registryrpc.Client{Conn: func(addr string) (grpc.ClientConnInterface, error) { return n.pool.Conn(addr) }}.Tell(ctx, addr, t)
@@ -135,6 +141,24 @@
 	}
 }
 
+// factsWait is how long a fresh node leaves the connections of callers unread until it knows a configuration and targets.
+// Callers count a request as unread for a second at least, while a refusal would use up one of their few attempts.
+const factsWait = 700 * time.Millisecond
+
+// awaitFacts returns when the node knows a configuration and targets, or after factsWait.
+func (n *Node) awaitFacts(ctx context.Context) {
+	if n.platform == nil {
+		return
+	}
+	timer := time.NewTimer(factsWait)
+	defer timer.Stop()
+	select {
+	case <-n.facts.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // sweep drops targets whose entries lapsed and did not return; it runs on the control goroutine.
 func (n *Node) sweep(now time.Time) {
 	targets, changed := n.facts.targets.WithTick(now)
@@ -147,6 +171,9 @@
 // onFleet applies the configuration in force and the listed targets to the parts that depend on both.
 func (n *Node) onFleet(now time.Time) {
 	view, tree := n.members.Snapshot(), n.store.Snapshot().Tree()
+	if tree.Version() > 0 && view.Nodes() > 0 {
+		n.facts.once.Do(func() { close(n.facts.known) })
+	}
 	homes := []string{n.settings.Name}
 	for _, row := range view.Hosts() {
 		if row.Host() != n.settings.Name {
@@ -157,7 +184,7 @@
 	row, ok := n.ownTarget()
 	if ok {
 		n.admission.SetIdentity(now, target.Identity{
-			Name: row.Name, Born: row.Born, Slots: row.Slots, Rate: tree.Service(row.Service).Pace,
+			Name: row.Name, Born: row.Born, Slots: row.Slots, Rate: tree.Service(row.Service).Pace * n.platform.ColdShare,
 		})
 	}
 	n.admission.SetLeavingNow(now, n.isLeaving() || (ok && row.State == instance.Leaving))
--- a/node/peer/message.go
+++ b/node/peer/message.go
@@ -34,6 +34,7 @@
 	h.Set(answer.HeaderDeadline, milliseconds(c.Deadline.Sub(now)))
 	if !c.Aim.IsZero() {
 		h.Set(answer.HeaderAim, milliseconds(c.Aim.Sub(now)))
+		h.Set(answer.HeaderGoal, milliseconds(c.Goal))
 	}
 	if c.Account != "" {
 		h.Set(answer.HeaderAccount, c.Account)
@@ -62,6 +63,11 @@
 		if c.Aim, err = decodeTime(h, answer.HeaderAim, now); err != nil {
 			return target.Call{}, err
 		}
+		goal, err := decodeTime(h, answer.HeaderGoal, now)
+		if err != nil {
+			return target.Call{}, err
+		}
+		c.Goal = goal.Sub(now)
 	}
 	if text := h.Get(answer.HeaderSpare); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
--- a/node/registry/feed.go
+++ b/node/registry/feed.go
@@ -55,6 +55,9 @@
 	Loop   *loop.Loop
 	Clock  *clock.Clock
 	Source Source
+	// Cached lets the first read take a copy that may be seconds old, which costs a tenth: when the whole fleet starts for
+	// the first time, and nothing depends on it yet.
+	Cached bool
 	// Members returns the other nodes that are not known to be gone; it is called on the control goroutine.
 	Members func(now time.Time) []Member
 	// Tell passes news on to the node at addr and returns the revision that it holds.
@@ -78,12 +81,13 @@
 	batches chan batch
 
 	// Owned by the control goroutine.
-	calling bool
-	first   time.Time // when the first read brought a copy
-	next    time.Time // earliest start of the next call
-	whole   bool      // the next call reads the whole registry, because history is missing
-	heard   time.Time // last news from another node
-	spread  time.Time // last confirmation that this node knows to have been passed on
+	calling  bool
+	first    time.Time // when the first read brought a copy
+	failures int
+	next     time.Time // earliest start of the next call
+	whole    bool      // the next call reads the whole registry, because history is missing
+	heard    time.Time // last news from another node
+	spread   time.Time // last confirmation that this node knows to have been passed on
 }
 
 // batch is a copy with the items that changed in it.
@@ -220,7 +224,7 @@
 	f.calling = true
 	switch {
 	case f.Snapshot().Revision() == 0:
-		f.read(true)
+		f.read(f.s.Cached && f.failures == 0)
 	case f.whole:
 		f.read(false)
 	case standing.Age == Unconfirmed || standing.Age >= lateAfter:
@@ -266,6 +270,7 @@
 			f.failed(what, err)
 			return
 		case err != nil:
+			f.failures++
 			f.next = now.Add(failPause)
 			f.failed(what, err)
 			return
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -19,8 +19,9 @@
 	Rank       Rank
 	Spare      time.Duration // longest wait at this target before the request goes on to another one, negative for any
 	Idempotent bool
-	Aim        time.Time // until when the response is wanted, zero if nothing is stated
-	Deadline   time.Time // until the head of the response has arrived
+	Aim        time.Time     // until when the response is wanted, zero if nothing is stated
+	Goal       time.Duration // from the arrival of the caller's request to the aim
+	Deadline   time.Time     // until the head of the response has arrived
 }
 
 // Rank is how urgent a request is: by its account first, then by its route. Lower ranks are served first.
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -11,7 +11,11 @@
 	queueFactor = 2                     // waiting tickets at most, as a multiple of the limit
 	queueFor    = 50 * time.Millisecond // longest wait of a ticket
 	awayFor     = time.Second           // time after which to ask a target again that leaves or is taken out
-	downFor     = toldOften             // time after which to ask again about a target that does not answer
+	// firstAims is the part of its aim that a request of an unknown route is expected to run, as a divisor.
+	firstAims = 3
+	// lateAims is the part of its aim for which a late request waits, as a divisor.
+	lateAims = 8
+	downFor  = toldOften // time after which to ask again about a target that does not answer
 )
 
 // Action tells what happens to a ticket.
@@ -147,7 +151,7 @@
 	if !g.IsTold() {
 		return 0
 	}
-	wait := g.state.Hold(g.limit.Service())
+	wait := g.state.Hold(now, g.limit.Service())
 	if g.queue.Len() > 0 || len(g.runs) >= g.limit.Value() || !g.state.Free(now).IsZero() {
 		wait = max(wait, g.expected(now, Ticket{}))
 	}
@@ -162,7 +166,7 @@
 	var due time.Time
 	for i := range g.queue.waiters {
 		w := &g.queue.waiters[i]
-		at := earlier(w.patience(), w.ticket.Deadline)
+		at := earlier(w.until(), w.ticket.Deadline)
 		if !g.state.IsFresh(now) && !w.asked(now) {
 			at = earlier(at, w.arrived.Add(askPatience))
 		}
@@ -179,12 +183,13 @@
 // asked tells whether the ticket has waited long enough for a fresh report.
 func (w waiter) asked(now time.Time) bool { return now.Sub(w.arrived) >= askPatience }
 
-// patience returns until when the ticket waits: until its aim has passed, or for queueFor if it states none.
-func (w waiter) patience() time.Time {
+// until returns until when the ticket waits: until its aim has passed, for a short while if it was late already when it
+// arrived, or for queueFor if it states no aim.
+func (w waiter) until() time.Time {
 	if w.ticket.Aim.IsZero() {
 		return w.arrived.Add(queueFor)
 	}
-	return w.ticket.Aim
+	return laterOf(w.ticket.Aim, w.arrived.Add(w.ticket.Goal/lateAims))
 }
 
 // earlier returns the earlier of two times, of which the second may be zero for none.
@@ -215,9 +220,9 @@
 	g = g.withOverdue(now)
 	g.queue = g.queue.clone(now)
 	limit := g.limit.Value()
-	hold, unsure := g.hold(t), !t.Aim.IsZero() && !g.state.IsFresh(now)
+	hold, unsure := g.hold(now, t), !t.Aim.IsZero() && !g.state.IsFresh(now)
 	if hold == 0 && len(g.runs) < limit && g.state.Free(now).IsZero() && g.queue.Room(now, t.Account, limit) {
-		if first, more := g.queue.Next(now, limit, g.service()); !more || t.Rank.Before(first.Rank) {
+		if first, more := g.queue.Next(now, limit, g.service); !more || t.Rank.Before(first.Rank) {
 			if unsure {
 				return g.withWaiter(now, t)
 			}
@@ -234,7 +239,7 @@
 		return g, refuse(t.ID, answer.Late, wait, "the expected wait exceeds the time left")
 	case g.IsTold() && t.MovesOn(wait):
 		return g, refuse(t.ID, answer.Busy, wait, movedOn)
-	case t.Aim.IsZero() && wait > queueFor, !t.Aim.IsZero() && now.Add(wait).After(t.Aim):
+	case wait > g.patience(now, t, wait):
 		return g, refuse(t.ID, answer.Busy, wait, "the expected wait is too long")
 	}
 	if g.queue.Len() >= queueFactor*limit {
@@ -260,22 +265,47 @@
 }
 
 // hold returns how long a ticket with an aim had better wait for the target to become fast.
-func (g Gate) hold(t Ticket) time.Duration {
+func (g Gate) hold(now time.Time, t Ticket) time.Duration {
 	if t.Aim.IsZero() {
 		return 0
 	}
-	return g.state.Hold(g.services.Of(t.Route, g.limit.Service()))
+	return g.state.Hold(now, g.usualService(t))
 }
 
 // service returns how long a request is expected to run that starts now.
-func (g Gate) service() time.Duration {
-	return time.Duration(float64(g.limit.Service()) * g.state.Pace())
+func (g Gate) service(t Ticket) time.Duration {
+	return time.Duration(float64(g.usualService(t)) * g.state.Pace())
+}
+
+// patience returns the longest wait for which a new ticket is accepted. One that will be late anyway waits for a short
+// while only: it starts when nothing else does, and a refusal is worth the more the earlier it comes.
+func (g Gate) patience(now time.Time, t Ticket, wait time.Duration) time.Duration {
+	switch {
+	case t.Aim.IsZero():
+		return queueFor
+	case t.Late(now.Add(wait), g.baseService):
+		return t.Goal / lateAims
+	}
+	return t.Aim.Sub(now)
+}
+
+// usualService returns how long a request runs at the pace of a warm target. Of a route that was not seen yet only the aim
+// is known.
+func (g Gate) usualService(t Ticket) time.Duration { return g.services.Of(t.Route, t.Goal/firstAims) }
+
+// baseService returns how long a request runs while nothing slows the target down for the moment.
+func (g Gate) baseService(t Ticket) time.Duration {
+	return time.Duration(float64(g.usualService(t)) * g.state.Base())
 }
 
 // expected returns the expected wait of a new ticket.
 func (g Gate) expected(now time.Time, t Ticket) time.Duration {
 	limit, running := g.limit.Value(), len(g.runs)
 	service := g.limit.Service()
+	if g.IsTold() && g.limit.seen == 0 {
+		service = max(service, g.usualService(t))
+	}
+	service = time.Duration(float64(service) * g.state.Base())
 	ahead := g.queue.Ahead(t)
 	wait := service * time.Duration(ahead+1) / time.Duration(limit)
 	if running > limit {
@@ -385,7 +415,7 @@
 		switch {
 		case !w.ticket.Deadline.IsZero() && !now.Before(w.ticket.Deadline):
 			verdicts = append(verdicts, refuse(w.ticket.ID, answer.Late, 0, "the deadline passed in the queue"))
-		case !now.Before(w.patience()):
+		case !now.Before(w.until()):
 			verdicts = append(verdicts, refuse(w.ticket.ID, answer.Busy, g.expected(now, w.ticket), "waited for too long"))
 		default:
 			i++
@@ -395,8 +425,8 @@
 	}
 	g, verdicts = g.withMoves(now, verdicts)
 	for len(g.runs) < g.limit.Value() && g.state.Free(now).IsZero() {
-		t, ok := g.queue.Next(now, g.limit.Value(), g.service())
-		if !ok || g.hold(t) > 0 || g.mustAsk(now, t) {
+		t, ok := g.queue.Next(now, g.limit.Value(), g.service)
+		if !ok || g.hold(now, t) > 0 || g.mustAsk(now, t) {
 			break
 		}
 		g.queue.remove(now, t.ID)
@@ -425,7 +455,7 @@
 	}
 	for i := 0; i < len(g.queue.waiters); {
 		t := g.queue.waiters[i].ticket
-		wait := g.hold(t)
+		wait := g.hold(now, t)
 		if wait == 0 && (len(g.runs) >= g.limit.Value() || !g.state.Free(now).IsZero()) {
 			wait = g.expected(now, t)
 		}
--- a/node/target/queue.go
+++ b/node/target/queue.go
@@ -19,15 +19,17 @@
 	Rank     Rank
 	Spare    time.Duration // longest expected wait here before the request goes on to another target, negative for any
 	Aim      time.Time     // the response is wanted by then, zero if nothing is stated
+	Goal     time.Duration // the time from the caller's request to its aim, zero likewise
 	Deadline time.Time
 }
 
 // MovesOn tells whether the request goes on to another target instead of waiting for the given time.
 func (t Ticket) MovesOn(wait time.Duration) bool { return t.Spare >= 0 && wait > t.Spare }
 
-// Late tells whether a request that starts at the given time is answered after its aim.
-func (t Ticket) Late(start time.Time, service time.Duration) bool {
-	return !t.Aim.IsZero() && start.Add(service).After(t.Aim)
+// Late tells whether a request that starts at the given time is answered after its aim; service returns how long a
+// request runs.
+func (t Ticket) Late(start time.Time, service func(Ticket) time.Duration) bool {
+	return !t.Aim.IsZero() && start.Add(service(t)).After(t.Aim)
 }
 
 type waiter struct {
@@ -197,8 +199,8 @@
 }
 
 // Next returns the ticket to start next under the limit: of the most urgent rank, of those that can still meet their
-// aim within the given service time, of the account that was served least.
-func (q Queue) Next(now time.Time, limit int, service time.Duration) (Ticket, bool) {
+// aim, of the account that was served least.
+func (q Queue) Next(now time.Time, limit int, service func(Ticket) time.Duration) (Ticket, bool) {
 	rank, late, any := q.class(now, limit, service)
 	if !any {
 		return Ticket{}, false
@@ -225,7 +227,7 @@
 }
 
 // class returns the rank that is served next, and whether all its tickets are late; false if none may start.
-func (q Queue) class(now time.Time, limit int, service time.Duration) (rank Rank, late, any bool) {
+func (q Queue) class(now time.Time, limit int, service func(Ticket) time.Duration) (rank Rank, late, any bool) {
 	for _, w := range q.waiters {
 		t := w.ticket
 		if any && rank.Before(t.Rank) {
--- a/node/target/queue_test.go
+++ b/node/target/queue_test.go
@@ -92,7 +92,7 @@
 				naive.touch(now, ticket.Account)
 				naive.waiting = append(naive.waiting, ticket)
 			case 2, 3:
-				got, ok := q.Next(now, limit, 0)
+				got, ok := q.Next(now, limit, nil)
 				want, wantOK := naive.next(now, limit)
 				require.Equal(t, wantOK, ok)
 				require.Equal(t, want, got)
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -47,7 +47,7 @@
 	}
 	arrived := s.now()
 	finish, err := s.admit(c.Request.Context(), Ticket{
-		Account: c.Account, Route: c.Route, Rank: c.Rank, Spare: c.Spare, Aim: c.Aim, Deadline: c.Deadline,
+		Account: c.Account, Route: c.Route, Rank: c.Rank, Spare: c.Spare, Aim: c.Aim, Goal: c.Goal, Deadline: c.Deadline,
 	})
 	begun := s.now()
 	stages := Stages{Queue: begun.Sub(arrived)}
