Tell slow nodes in parallel, and work out the order of nodes only when it changes

Change: a node that does not answer within 300 ms is passed over and has 1.5 s; only adopted news count; the order of nodes and the homes follow from changes of the list; notices for changes of 0.3 of the limit, at most each 50 ms; idle targets are probed each 200 ms.

--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -58,6 +58,8 @@
 	known   chan struct{}     // closed when a configuration and targets are known
 	once    sync.Once
 	current atomic.Pointer[[]string]
+	homes   []string // nodes at the last change of the view
+	version int64    // of the configuration then
 }
 
 // out returns the failure domains that are taken out; any goroutine may call it.
@@ -92,24 +94,13 @@
 	return registry.Settings{
 		Name: n.settings.Name, Domain: n.settings.Domain, Loop: n.loop, Clock: n.clock,
 		Source: n.platform.Source, Cached: n.platform.First, Decode: n.platform.Decode,
-		Members: n.readers, Changed: n.onRegistry, Failed: n.failed,
+		Changed: n.onRegistry, Failed: n.failed,
 		Tell: func(ctx context.Context, addr string, t registry.Telling) (int64, error) {
 			return registryrpc.Client{Conn: func(addr string) (grpc.ClientConnInterface, error) { return n.pool.Conn(addr) }}.Tell(ctx, addr, t)
 		},
 	}
 }
 
-// readers returns the other nodes that may read the registry.
-func (n *Node) readers(time.Time) []registry.Member {
-	var members []registry.Member
-	for _, row := range n.members.Snapshot().Hosts() {
-		if row.Host() != n.settings.Name {
-			members = append(members, registry.Member{Name: row.Host(), Domain: row.Domain, Control: row.Control})
-		}
-	}
-	return members
-}
-
 // onRegistry takes what changed in the registry; it runs on the control goroutine.
 func (n *Node) onRegistry(now time.Time, c registry.Copy, changes []registry.Change) {
 	targets, moved := n.facts.targets, false
@@ -174,13 +165,7 @@
 	if tree.Version() > 0 && view.Nodes() > 0 {
 		n.facts.once.Do(func() { close(n.facts.known) })
 	}
-	homes := []string{n.settings.Name}
-	for _, row := range view.Hosts() {
-		if row.Host() != n.settings.Name {
-			homes = append(homes, row.Host())
-		}
-	}
-	n.limiter.SetHomes(now, tree, homes)
+	n.onNodes(now, view, tree)
 	row, ok := n.ownTarget()
 	if ok {
 		n.admission.SetIdentity(now, target.Identity{
@@ -191,6 +176,26 @@
 	n.admission.SetOut(now, slices.Contains(n.facts.out(), n.settings.Domain))
 }
 
+// onNodes passes the nodes of the fleet on to the parts that divide work among them, if they or the configuration changed.
+func (n *Node) onNodes(now time.Time, view instance.View, tree config.Tree) {
+	homes := []string{n.settings.Name}
+	var members []registry.Member
+	for _, row := range view.Hosts() {
+		if row.Host() != n.settings.Name {
+			homes = append(homes, row.Host())
+			members = append(members, registry.Member{Name: row.Host(), Domain: row.Domain, Control: row.Control})
+		}
+	}
+	moved := !slices.Equal(homes, n.facts.homes)
+	if moved {
+		n.feed.SetMembers(members)
+	}
+	if moved || tree.Version() != n.facts.version {
+		n.limiter.SetHomes(now, tree, homes)
+	}
+	n.facts.homes, n.facts.version = homes, tree.Version()
+}
+
 // ownTarget returns the entry of the target beside this node, the youngest if there are several.
 func (n *Node) ownTarget() (instance.Instance, bool) {
 	var own instance.Instance
--- a/node/peer/audience.go
+++ b/node/peer/audience.go
@@ -14,9 +14,9 @@
 	// noticeEvery is the longest pause between notices; without them for a few such pauses a node counts as silent.
 	noticeEvery = 300 * time.Millisecond
 	// noticePause is the shortest pause between notices of a load that changes with each request.
-	noticePause = 30 * time.Millisecond
+	noticePause = 50 * time.Millisecond
 	// loadStep is the change of running and waiting requests that is worth a notice, as a share of the limit.
-	loadStep = 0.2
+	loadStep = 0.3
 	// waitStep is the change of the expected wait that is worth a notice.
 	waitStep = 20 * time.Millisecond
 	// paceStep is the change of the pace that is worth a notice at once.
--- a/node/registry/duty.go
+++ b/node/registry/duty.go
@@ -51,6 +51,12 @@
 	return append(first, rest...)
 }
 
+// Rank returns the position of a node among all nodes in the order in which they read.
+func Rank(own Member, others []Member) int {
+	all := append(slices.Clone(others), own)
+	return slices.IndexFunc(Order(all), func(m Member) bool { return m.Name == own.Name })
+}
+
 // Standing is what the decision to read depends on.
 type Standing struct {
 	Rank  int           // position of this node in Order
--- a/node/registry/feed.go
+++ b/node/registry/feed.go
@@ -27,8 +27,11 @@
 	changePause = 200 * time.Millisecond
 	// failPause is the time after a call that failed.
 	failPause = 300 * time.Millisecond
-	// tellTimeout bounds one telling; a node that is paused or cut off must not hold up those behind it for long.
-	tellTimeout = 300 * time.Millisecond
+	// tellPatience is how long a node may take to answer before another one gets its errand as well: one that is paused or
+	// cut off must not hold up those behind it for long.
+	tellPatience = 300 * time.Millisecond
+	// tellTimeout bounds one telling. Behind a link of 10 Mbit/s that carries large responses it waits for half a second.
+	tellTimeout = 1500 * time.Millisecond
 	// confirmEvery is the time within which a confirmation that another reader passed on makes one's own needless.
 	confirmEvery = 500 * time.Millisecond
 	// decodeQueue bounds the batches of changed items that wait to be decoded.
@@ -58,8 +61,6 @@
 	// Cached lets the first read take a copy that may be seconds old, which costs a tenth: when the whole fleet starts for
 	// the first time, and nothing depends on it yet.
 	Cached bool
-	// Members returns the other nodes that are not known to be gone; it is called on the control goroutine.
-	Members func(now time.Time) []Member
 	// Tell passes news on to the node at addr and returns the revision that it holds.
 	Tell func(ctx context.Context, addr string, t Telling) (int64, error)
 	// Decode reads an item. It is not called on the control goroutine, since a configuration takes a while.
@@ -81,6 +82,8 @@
 	batches chan batch
 
 	// Owned by the control goroutine.
+	members  []Member // the other nodes, in their order along the ring after this one
+	rank     int      // position of this node in the order in which nodes read
 	calling  bool
 	first    time.Time // when the first read brought a copy
 	failures int
@@ -107,6 +110,12 @@
 // Snapshot returns the current copy; any goroutine may call it.
 func (f *Feed) Snapshot() Copy { return *f.copy.Load() }
 
+// SetMembers adopts the other nodes that are not known to be gone; it must be called on the control goroutine.
+func (f *Feed) SetMembers(members []Member) {
+	f.members = Ring(f.s.Name, members)
+	f.rank = Rank(Member{Name: f.s.Name, Domain: f.s.Domain}, members)
+}
+
 // Start begins to read.
 func (f *Feed) Start() {
 	f.running.Go(f.decode)
@@ -128,10 +137,7 @@
 func (f *Feed) Receive(ctx context.Context, t Telling) (int64, error) {
 	var revision int64
 	at := f.s.Clock.Now()
-	err := f.s.Loop.Call(ctx, func(now time.Time) {
-		f.heard = now
-		revision = f.receive(now, at, t)
-	})
+	err := f.s.Loop.Call(ctx, func(now time.Time) { revision = f.receive(now, at, t) })
 	if err != nil {
 		return 0, fmt.Errorf("registry: receiving news: %w", err)
 	}
@@ -143,11 +149,12 @@
 	if _, err := f.adopt(at, t.News); err != nil {
 		return held.Revision() // the sender sends what is missing
 	}
+	f.heard = now
 	if t.News.Age >= 0 {
 		f.spread = laterOf(f.spread, at.Add(-t.News.Age))
 	}
 	if !t.Last {
-		f.pass(now, t.News.After, Errands(f.s.Name, f.s.Members(now), t.Until, false))
+		f.pass(now, t.News.After, Errands(f.s.Name, f.members, t.Until, false))
 	}
 	return f.Snapshot().Revision()
 }
@@ -195,18 +202,11 @@
 
 // Standing returns what the decision to read depends on; it runs on the control goroutine.
 func (f *Feed) Standing(now time.Time) Standing {
-	own := Member{Name: f.s.Name, Domain: f.s.Domain}
 	held := f.Snapshot()
-	s := Standing{Age: held.Age(now), Heard: Unconfirmed}
+	s := Standing{Rank: f.rank, Age: held.Age(now), Heard: Unconfirmed}
 	if s.Age == Unconfirmed && held.Revision() > 0 {
 		s.Age = now.Sub(f.first) // the readers are about to confirm what the first read gave
 	}
-	for i, m := range Order(append(f.s.Members(now), own)) {
-		if m.Name == f.s.Name {
-			s.Rank = i
-			break
-		}
-	}
 	if !f.heard.IsZero() {
 		s.Heard = now.Sub(f.heard)
 	}
@@ -290,7 +290,7 @@
 		}
 		if changed || (news.Age >= 0 && at.Sub(f.spread) >= confirmEvery) {
 			f.spread = at
-			f.pass(now, news.After, Errands(f.s.Name, f.s.Members(now), 0, true))
+			f.pass(now, news.After, Errands(f.s.Name, f.members, 0, true))
 		}
 	})
 }
@@ -304,20 +304,36 @@
 	}
 }
 
-// tell passes news on to the first of the members that answers.
+// tell passes news on to the first of the members that answers soon. Slow ones may still get them.
 func (f *Feed) tell(held Copy, t Telling, members []Member) {
+	timer := time.NewTimer(tellPatience)
+	defer timer.Stop()
 	for _, m := range members {
-		err := f.tellOne(held, t, m)
-		if err == nil {
-			return
-		}
-		if f.ctx.Err() != nil {
+		told := make(chan error, 1)
+		f.running.Go(func() { told <- f.tellOne(held, t, m) })
+		timer.Reset(tellPatience)
+		var err error
+		select {
+		case err = <-told:
+			if err == nil {
+				return
+			}
+		case <-timer.C:
+			err = SlowError{Name: m.Name}
+		case <-f.ctx.Done():
 			return
 		}
 		f.failed("passing news on", err)
 	}
 }
 
+// SlowError reports a node that has not answered a telling in time.
+type SlowError struct{ Name string }
+
+func (e SlowError) Error() string {
+	return fmt.Sprintf("registry: %s did not answer within %s", e.Name, tellPatience)
+}
+
 // tellOne passes news on to one member, and sends what it lacks if it is behind.
 func (f *Feed) tellOne(held Copy, t Telling, m Member) error {
 	ctx, cancel := context.WithTimeout(f.ctx, tellTimeout)
--- a/node/registry/ring.go
+++ b/node/registry/ring.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 )
@@ -29,26 +30,28 @@
 // Until returns the end of the part of the ring that the receiver has to reach.
 func (e Errand) Until() uint32 { return place(e.Members[len(e.Members)-1].Name) }
 
-// Errands divides the members on the ring after self up to a place, or all others if whole is set.
-func Errands(self string, members []Member, until uint32, whole bool) []Errand {
+// Ring returns the members in their order along the ring after self, without self.
+func Ring(self string, members []Member) []Member {
 	own := place(self)
-	var reach []Member
-	for _, m := range members {
-		// Unsigned differences are distances along the ring.
-		if m.Name != self && (whole || place(m.Name)-own <= until-own) {
-			reach = append(reach, m)
-		}
+	ring := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Name == self })
+	places := make(map[string]uint32, len(ring))
+	for _, m := range ring {
+		places[m.Name] = place(m.Name) - own // unsigned differences are distances along the ring
 	}
-	slices.SortFunc(reach, func(a, b Member) int {
-		x, y := place(a.Name)-own, place(b.Name)-own
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
+	slices.SortFunc(ring, func(a, b Member) int { return cmp.Compare(places[a.Name], places[b.Name]) })
+	return ring
+}
+
+// Errands divides the members of a ring after self up to a place, or all of them if whole is set.
+func Errands(self string, ring []Member, until uint32, whole bool) []Errand {
+	reach := ring
+	if !whole {
+		own := place(self)
+		end := slices.IndexFunc(ring, func(m Member) bool { return place(m.Name)-own > until-own })
+		if end >= 0 {
+			reach = ring[:end]
 		}
-		return 0
-	})
+	}
 	var errands []Errand
 	for n := min(fanout, len(reach)); n > 0; n-- {
 		size := (len(reach) + n - 1) / n
--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -12,7 +12,7 @@
 )
 
 // probeTick is the period in which a probe is considered.
-const probeTick = 50 * time.Millisecond
+const probeTick = 100 * time.Millisecond
 
 // Probed is the outcome of a probe.
 type Probed struct {
@@ -192,6 +192,9 @@
 	a.publish(now)
 	a.ask(now)
 	due, ok := a.gate.Due(now)
+	if a.gate.Waits() && !a.probe.IsOpen(now) {
+		due = earlier(due, a.probe.Again())
+	}
 	if !ok || (!a.due.IsZero() && !due.Before(a.due)) {
 		return
 	}
@@ -242,12 +245,14 @@
 	}
 }
 
-// ask sends a probe if requests wait for its answer; it runs on the control goroutine.
+// ask sends a probe if requests wait for its answer, or for a target that may have become fast again; it runs on the
+// control goroutine.
 func (a *Admission) ask(now time.Time) {
-	if a.gate.Asks(now) && !a.probe.IsOpen(now) {
-		a.probe = a.probe.WithProbe(now)
-		a.asking.Go(a.runProbe)
+	if a.probe.IsOpen(now) || (!a.gate.Asks(now) && (!a.gate.Waits() || now.Before(a.probe.Again()))) {
+		return
 	}
+	a.probe = a.probe.WithProbe(now)
+	a.asking.Go(a.runProbe)
 }
 
 // runProbe sends a probe and adopts its outcome.
@@ -271,7 +276,7 @@
 // probeDue runs on the control goroutine.
 func (a *Admission) probeDue(now time.Time) bool {
 	if a.gate.IsTold() {
-		return ProbeTold(now, a.probe, a.gate.state.unsure, a.gate.queue.Len() > 0)
+		return ProbeTold(now, a.probe, a.gate.state.unsure)
 	}
 	return Probe(now, a.probe, a.budget())
 }
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -259,6 +259,9 @@
 	return g, Verdict{ID: t.ID, Action: Wait}
 }
 
+// Waits tells whether requests wait for a target that tells of itself.
+func (g Gate) Waits() bool { return g.IsTold() && len(g.queue.waiters) > 0 }
+
 // Asks tells whether requests wait for a fresh report of the target's pace.
 func (g Gate) Asks(now time.Time) bool {
 	return len(g.queue.waiters) > 0 && len(g.runs) < g.limit.Value() && !g.state.IsFresh(now)
--- a/node/target/probe.go
+++ b/node/target/probe.go
@@ -12,7 +12,7 @@
 	// pace shifts within a fraction of a second, and one that turned cold breaks down within a second.
 	toldFresh  = 100 * time.Millisecond // responses younger than this tell the pace
 	toldRare   = 500 * time.Millisecond // pause between probes while they do
-	toldOften  = 100 * time.Millisecond // pause between probes otherwise
+	toldOften  = 200 * time.Millisecond // pause between probes otherwise
 	toldUnsure = 100 * time.Millisecond // pause while the target may have started anew
 	toldWaited = 50 * time.Millisecond  // pause while requests wait for the target to become fast
 	toldLost   = 500 * time.Millisecond // an answer that takes longer means that the target does not answer
@@ -66,15 +66,15 @@
 	return since >= max(pause, probeEvery)
 }
 
-// ProbeTold tells whether to probe a target that tells of itself; unsure says that it may have started anew, waited that
-// requests wait for it.
-func ProbeTold(now time.Time, s ProbeState, unsure, waited bool) bool {
+// Again returns when to probe a target again for which requests wait.
+func (s ProbeState) Again() time.Time { return s.sent.Add(toldWaited) }
+
+// ProbeTold tells whether to probe a target that tells of itself; unsure says that it may have started anew.
+func ProbeTold(now time.Time, s ProbeState, unsure bool) bool {
 	since := now.Sub(s.sent)
 	switch {
 	case s.IsOpen(now):
 		return false
-	case waited:
-		return since >= toldWaited
 	case unsure:
 		return since >= toldUnsure
 	case !s.heard.IsZero() && now.Sub(s.heard) < toldFresh:
