--- /dev/null
+++ b/node/target/state_test.go
@@ -0,0 +1,116 @@
+package target
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"verbenapin.dev/node/answer"
+)
+
+var cold = Identity{Name: "i", Slots: 12, Rate: 11}
+
+// TestColdRate guards against a cold target that gets more requests in any second than it bears, however they arrive and
+// while it is not known whether it is cold, and against one that gets none.
+func TestColdRate(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s, now := State{}.WithIdentity(cold), start
+		var starts []time.Time
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(r, "pause")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(r, "asked") == 0 {
+				s = s.WithReport(now, answer.Report{Told: true, Pace: 1, Cold: time.Hour}, true)
+			}
+			free := s.Free(now)
+			require.LessOrEqual(r, free.Sub(now), coldSpan, "a request waits no longer than the time of the bound")
+			if !free.IsZero() {
+				continue
+			}
+			s = s.WithStart(now)
+			starts = append(starts, now)
+			n := 0
+			for _, at := range starts {
+				if now.Sub(at) < coldSpan {
+					n++
+				}
+			}
+			require.LessOrEqual(r, n, int(cold.Rate))
+		}
+		require.GreaterOrEqual(r, len(starts), 20)
+	})
+}
+
+// TestCold guards against a target that is taken for warm before it said so, and for cold after that.
+func TestCold(t *testing.T) {
+	tell := func(s State, remaining time.Duration, asked bool) State {
+		return s.WithReport(start, answer.Report{Told: true, Pace: 1, Cold: remaining}, asked)
+	}
+	fresh := State{}.WithIdentity(cold)
+	warm := tell(fresh, 0, true)
+	again := cold
+	again.Born = start
+	cases := map[string]struct {
+		state State
+		want  bool
+	}{
+		"not asked yet":             {state: fresh, want: true},
+		"an ordinary response":      {state: tell(fresh, 0, false), want: true},
+		"said warm":                 {state: warm},
+		"said cold":                 {state: tell(fresh, time.Second, true), want: true},
+		"may have started anew":     {state: warm.WithDoubt(), want: true},
+		"another start of the name": {state: warm.WithIdentity(again), want: true},
+		"the same start":            {state: warm.WithIdentity(cold)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, tc.state.IsCold(start.Add(ms(500)))) })
+	}
+	require.False(t, tell(fresh, time.Second, true).IsCold(start.Add(time.Second)))
+}
+
+// TestHold guards against requests that start slowly although a short wait would end sooner, and against waits that cost
+// more than the slowness.
+func TestHold(t *testing.T) {
+	pace := func(s State, at int, pace float64) State {
+		return s.WithReport(start.Add(ms(at)), answer.Report{Told: true, Pace: pace}, false)
+	}
+	slow := pace(pace(State{}, 0, 1), 100, 4)
+	learnt := pace(pace(pace(pace(State{}, 0, 1), 100, 4), 1100, 1), 2000, 4) // slow times last a second
+	cold := pace(pace(State{}, 0, 2), 100, 2)
+	cases := map[string]struct {
+		state   State
+		at      int
+		service time.Duration
+		want    time.Duration
+	}{
+		"fast":                   {state: pace(State{}, 0, 1), service: ms(200)},
+		"long request":           {state: slow, at: 100, service: ms(200), want: firstPhase / 2},
+		"slow for long":          {state: slow, at: 600, service: ms(200), want: ms(500)},
+		"slow for longer":        {state: slow, at: 800, service: ms(200)},
+		"slow while cold":        {state: cold, at: 100, service: ms(200)},
+		"slower while cold":      {state: pace(cold, 200, 8), at: 200, service: ms(200), want: firstPhase / 2},
+		"short request":          {state: slow, service: ms(10)},
+		"learnt length":          {state: learnt, at: 2000, service: ms(200), want: ms(500)},
+		"shorter than learnt":    {state: learnt, at: 2000, service: ms(100)},
+		"fast again":             {state: pace(slow, 400, 1), service: ms(200)},
+		"does not tell its pace": {state: State{}, service: ms(200)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, tc.state.Hold(start.Add(ms(tc.at)), tc.service)) })
+	}
+}
+
+// TestServices guards against times of one route that count for another, and against memory that grows with the routes.
+func TestServices(t *testing.T) {
+	s := Services{}
+	require.Equal(t, ms(7), s.Of("a", ms(7)))
+	s = s.WithResponse("a", ms(100)).WithResponse("b", ms(10)).WithResponse("a", ms(200))
+	require.Equal(t, ms(150), s.Of("a", 0))
+	require.Equal(t, ms(10), s.Of("b", 0))
+	for n := range 10 * maxServices {
+		s = s.WithResponse("b", ms(10)).WithResponse(string(rune('c'+n)), ms(1))
+	}
+	require.Len(t, s.rows, maxServices)
+	require.Equal(t, ms(10), s.Of("b", 0), "a route in use stays")
+}
--- /dev/null
+++ b/node/target/told_test.go
@@ -0,0 +1,184 @@
+package target
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"verbenapin.dev/node/answer"
+)
+
+var warm = Identity{Name: "i", Slots: 10, Rate: 11}
+
+// toldGate returns the gate of a warm target that has just told its pace, and has served requests in 100 ms.
+func toldGate(pace float64) Gate {
+	g := NewGate(1).WithIdentity(warm).WithReport(start, answer.Report{Told: true, Pace: 1}, true)
+	g, v := g.WithArrival(start, Ticket{ID: 1 << 40, Account: "a", Route: "r", Spare: -1})
+	g, _ = g.WithDone(start, v.ID, Outcome{Latency: ms(100)})
+	return g.WithReport(start, answer.Report{Told: true, Pace: pace}, false)
+}
+
+func wanted(id uint64, aim int) Ticket {
+	return Ticket{ID: id, Account: "a", Route: "r", Spare: -1, Aim: start.Add(ms(aim)), Goal: ms(aim), Deadline: start.Add(ms(2 * aim))}
+}
+
+// full starts as many requests as the gate lets run.
+func full(g Gate) Gate {
+	for n := range uint64(g.limit.Value()) {
+		g, _ = g.WithArrival(start, wanted(100+n, 1000))
+	}
+	return g
+}
+
+// TestToldArrival guards against requests that start on a slow or silent target, that wait where they had better go on,
+// and that are refused although they can be served in time.
+func TestToldArrival(t *testing.T) {
+	fast, slow := toldGate(1), toldGate(4)
+	busy := full(fast)
+	spare := func(t Ticket, ms time.Duration) Ticket { t.Spare = ms; return t }
+	cases := map[string]struct {
+		gate   Gate
+		ticket Ticket
+		at     int
+		want   Action
+	}{
+		"fast":                   {gate: fast, ticket: wanted(1, 600), want: Start},
+		"report is old":          {gate: fast, ticket: wanted(1, 600), at: 30, want: Wait},
+		"no aim, report is old":  {gate: fast, ticket: Ticket{ID: 1, Spare: -1}, at: 30, want: Start},
+		"slow":                   {gate: slow, ticket: wanted(1, 600), want: Wait},
+		"slow, nothing to spare": {gate: slow, ticket: spare(wanted(1, 600), 0), want: Refuse},
+		"slow, enough to spare":  {gate: slow, ticket: spare(wanted(1, 600), ms(150)), want: Wait},
+		"full":                   {gate: busy, ticket: wanted(1, 600), want: Wait},
+		"full, nothing to spare": {gate: busy, ticket: spare(wanted(1, 600), 0), want: Refuse},
+		"full, aim can't be met": {gate: full(toldGate(1)), ticket: wanted(1, 10), want: Refuse},
+		"target does not answer": {gate: fast.WithUnreachable(start), ticket: wanted(1, 600), want: Refuse},
+		"target answers again":   {gate: fast.WithUnreachable(start).WithReport(start, answer.Report{Told: true, Pace: 1}, true), ticket: wanted(1, 600), want: Start},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, v := tc.gate.WithArrival(start.Add(ms(tc.at)), tc.ticket)
+			require.Equal(t, tc.want, v.Action, v.Refusal.Text)
+			if v.Action == Refuse {
+				require.Equal(t, answer.RunNo, v.Refusal.Run)
+				require.Positive(t, v.Refusal.After)
+			}
+		})
+	}
+}
+
+// TestReportStarts guards against requests that go on waiting after the report that they waited for.
+func TestReportStarts(t *testing.T) {
+	cases := map[string]struct {
+		pace  float64
+		spare time.Duration
+		want  []Action
+	}{
+		"fast":                   {pace: 1, spare: 0, want: []Action{Start}},
+		"slow, goes on":          {pace: 4, spare: 0, want: []Action{Refuse}},
+		"slow, waits":            {pace: 4, spare: -1},
+		"slow, spare for a hold": {pace: 4, spare: ms(120)},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			ticket := wanted(1, 600)
+			ticket.Spare = tc.spare
+			now := start.Add(ms(30))
+			g, v := toldGate(1).WithArrival(now, ticket)
+			require.Equal(t, Wait, v.Action)
+			require.True(t, g.Asks(now))
+			g = g.WithReport(now.Add(ms(2)), answer.Report{Told: true, Pace: tc.pace}, true)
+			_, verdicts := g.WithTick(now.Add(ms(2)))
+			var got []Action
+			for _, v := range verdicts {
+				got = append(got, v.Action)
+			}
+			require.Equal(t, tc.want, got)
+		})
+	}
+}
+
+// TestAskPatience guards against requests that wait for a report for good when the probe is lost.
+func TestAskPatience(t *testing.T) {
+	now := start.Add(ms(30))
+	g, v := toldGate(1).WithArrival(now, wanted(1, 600))
+	require.Equal(t, Wait, v.Action)
+	due, ok := g.Due(now)
+	require.True(t, ok)
+	require.Equal(t, now.Add(askPatience), due)
+	_, verdicts := g.WithTick(due)
+	require.Len(t, verdicts, 1)
+	require.Equal(t, Start, verdicts[0].Action)
+}
+
+// TestRanks guards against a less urgent request that starts before a more urgent one, and against a late one that takes
+// the place of one that can still meet its aim.
+func TestRanks(t *testing.T) {
+	g := full(toldGate(1))
+	ranked := func(id uint64, account, route, aim int) Ticket {
+		ticket := wanted(id, aim)
+		ticket.Account, ticket.Rank = string(rune('a'+id)), Rank{Account: account, Route: route}
+		return ticket
+	}
+	// The aim of the third one passes while it waits.
+	for _, ticket := range []Ticket{ranked(1, 1, 2, 900), ranked(2, 1, 1, 900), ranked(3, 1, 1, 150), ranked(4, 0, 2, 900), ranked(5, 1, 2, 900)} {
+		var v Verdict
+		g, v = g.WithArrival(start, ticket)
+		require.Equal(t, Wait, v.Action, "%d: %s", ticket.ID, v.Refusal.Text)
+	}
+	var got []uint64
+	for n := range uint64(5) {
+		now := start.Add(ms(100))
+		g = g.WithReport(now, answer.Report{Told: true, Pace: 1}, false)
+		var verdicts []Verdict
+		g, verdicts = g.WithDone(now, 100+n, Outcome{Latency: ms(100)})
+		for _, v := range verdicts {
+			require.Equal(t, Start, v.Action)
+			got = append(got, v.ID)
+		}
+	}
+	require.Equal(t, []uint64{4, 2, 3, 1, 5}, got)
+}
+
+// TestToldLimit guards against more requests at once than the target's slots bear, and against a limit that falls for
+// reasons other than load.
+func TestToldLimit(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		g, now, id := toldGate(1), start, uint64(0)
+		running := map[uint64]bool{}
+		note := func(verdicts ...Verdict) {
+			for _, v := range verdicts {
+				if v.Action == Start {
+					running[v.ID] = true
+				}
+			}
+			require.LessOrEqual(r, len(running), Usable(warm.Slots))
+			require.Equal(r, len(running), g.Load(now).Running)
+		}
+		for range 200 {
+			now = now.Add(ms(rapid.IntRange(0, 20).Draw(r, "pause")))
+			var v Verdict
+			var more []Verdict
+			switch rapid.IntRange(0, 3).Draw(r, "step") {
+			case 0, 1:
+				id++
+				g, v = g.WithArrival(now, Ticket{ID: id, Account: "a", Route: "r", Spare: -1, Aim: now.Add(ms(600)), Goal: ms(600), Deadline: now.Add(time.Second)})
+				note(v)
+			case 2:
+				for done := range running {
+					kind := rapid.SampledFrom([]Kind{Good, Failed, Shed, Lost, Cancelled}).Draw(r, "kind")
+					delete(running, done)
+					g, more = g.WithDone(now, done, Outcome{Kind: kind, Latency: ms(100)})
+					note(more...)
+					break
+				}
+			default:
+				g = g.WithReport(now, answer.Report{Told: true, Pace: 1}, true)
+				g, more = g.WithTick(now)
+				note(more...)
+			}
+			require.Equal(r, Usable(warm.Slots), g.Load(now).Limit)
+		}
+	})
+}
