Lend loosely on the platform, and pause longer before a registry that is down

Ruled out: a longer poll in ordinary times (news then come late); one Take for several requests (tokens would lie at the wrong nodes). Change: only the reader of the registry tries while it is down and tells the others that it is alive; pauses double from 400 ms to 3 s. Homes of a fleet whose promise has an overage no longer count tokens on loan against the burst, so that borrowers need not report spent tokens.

--- a/node/account/book.go
+++ b/node/account/book.go
@@ -35,6 +35,7 @@
 
 // Book is a borrower's side: its stock of every account in use. The control goroutine owns it.
 type Book struct {
+	loose    bool // homes need not be told of spent tokens
 	session  uint64
 	seq      uint64
 	homes    map[string][]string
@@ -51,6 +52,13 @@
 	}
 }
 
+// NewLooseBook returns the book of a borrower whose homes lend loosely.
+func NewLooseBook(session uint64) *Book {
+	b := NewBook(session)
+	b.loose = true
+	return b
+}
+
 // HomesOf returns the homes of every account of a tree; it is computed outside the control goroutine.
 func HomesOf(t config.Tree) map[string][]string {
 	homes := map[string][]string{}
@@ -187,7 +195,7 @@
 			continue
 		}
 		for {
-			home, back := s.Return(now)
+			home, back := s.Return(now, b.loose)
 			if home == "" {
 				break
 			}
--- a/node/account/control.go
+++ b/node/account/control.go
@@ -55,20 +55,27 @@
 func New(self string, l *loop.Loop, c *clock.Clock,
 	send func(ctx context.Context, home string, take Take) (Grant, error), mint func(now time.Time) bool,
 ) *Limiter {
-	return newLimiter(self, l, c, send, mint, NewLedger(self, 0))
+	a := newLimiter(self, l, c, send, mint, NewBook(rand.Uint64()), NewLedger(self, 0))
+	a.onTicks(c)
+	return a
 }
 
+// newLimiter returns a limiter that is not yet told of the time.
 func newLimiter(self string, l *loop.Loop, c *clock.Clock,
-	send func(ctx context.Context, home string, take Take) (Grant, error), mint func(now time.Time) bool, ledger *Ledger,
+	send func(ctx context.Context, home string, take Take) (Grant, error), mint func(now time.Time) bool,
+	book *Book, ledger *Ledger,
 ) *Limiter {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &Limiter{
+	return &Limiter{
 		Send: send, Mint: mint, self: self, loop: l, now: c.Now, start: c.Now(),
-		book: NewBook(rand.Uint64()), ledger: ledger, waiters: map[string][]chan Decision{},
+		book: book, ledger: ledger, waiters: map[string][]chan Decision{},
 		ctx: ctx, cancel: cancel,
 	}
-	a.tick = c.Subscribe(tickEvery, func(time.Time) { _ = l.Post(ctx, a.onTick) })
-	return a
+}
+
+// onTicks subscribes the limiter to the timer service, once its state is complete.
+func (a *Limiter) onTicks(c *clock.Clock) {
+	a.tick = c.Subscribe(tickEvery, func(time.Time) { _ = a.loop.Post(a.ctx, a.onTick) })
 }
 
 // NewEager returns a limiter whose homes follow from the fleet, by SetHomes, and mint the given part more than the rates
@@ -77,8 +84,9 @@
 	send func(ctx context.Context, home string, take Take) (Grant, error),
 ) *Limiter {
 	always := func(time.Time) bool { return true }
-	a := newLimiter(self, l, c, send, always, NewEagerLedger(self, 0))
+	a := newLimiter(self, l, c, send, always, NewLooseBook(rand.Uint64()), NewEagerLedger(self, 0))
 	a.overage = overage
+	a.onTicks(c)
 	return a
 }
 
--- a/node/account/fleet_test.go
+++ b/node/account/fleet_test.go
@@ -125,6 +125,7 @@
 	notRun     float64
 	prompt     bool          // forward without delay
 	refund     time.Duration // delay of every refund, if not zero
+	eager      *eager        // how nodes learn the homes, if they follow from the fleet
 }
 
 const fleetAccount = "lombardia"
@@ -279,6 +280,11 @@
 	n.up, n.paused, n.start, n.version, n.waiting = true, 0, f.now, 0, 0
 	n.book, n.ledger = NewBook(f.rnd.Uint64()), NewLedger(n.name, 0)
 	n.known, n.heard, n.at = map[string]stamp{}, map[string]time.Duration{}, map[string]int64{}
+	if f.eager != nil {
+		f.eager.restart(n)
+		n.tick()
+		return
+	}
 	n.adopt(version)
 	n.tick()
 	n.ping()
@@ -318,6 +324,9 @@
 	if n.allowed != nil {
 		return n.allowed()
 	}
+	if n.f.eager != nil {
+		return true
+	}
 	if n.f.bad.mintAlways {
 		return true
 	}
--- a/node/account/home.go
+++ b/node/account/home.go
@@ -25,6 +25,7 @@
 
 // Home is one account's minted share at a home: level is available, lent is on loan, and together they never exceed the burst.
 type Home struct {
+	loose bool // tokens on loan do not count against the burst
 	limit Limit
 	level float64
 	lent  int
@@ -37,6 +38,21 @@
 	return Home{at: now}
 }
 
+// NewLooseHome returns a home without tokens whose loans do not count against its burst, so that borrowers need not say
+// that they spent them. Tokens that lie unspent at borrowers can then add to the burst, which the promise with an overage
+// allows.
+func NewLooseHome(now time.Duration) Home {
+	return Home{at: now, loose: true}
+}
+
+// room returns how many tokens may be available for lending.
+func (h Home) room() float64 {
+	if h.loose {
+		return h.limit.Burst
+	}
+	return h.limit.Burst - float64(h.lent)
+}
+
 // Level returns the tokens available for lending.
 func (h Home) Level() float64 { return h.level }
 
@@ -49,7 +65,7 @@
 		h.level += h.limit.Rate * (now - h.at).Seconds()
 		h.at = now
 	}
-	h.level = max(0, min(h.level, h.limit.Burst-float64(h.lent)))
+	h.level = max(0, min(h.level, h.room()))
 	return h
 }
 
@@ -62,7 +78,7 @@
 // WithLimit returns h with a new limit from its current time on.
 func (h Home) WithLimit(limit Limit) Home {
 	h.limit = limit
-	h.level = max(0, min(h.level, limit.Burst-float64(h.lent)))
+	h.level = max(0, min(h.level, h.room()))
 	return h
 }
 
@@ -92,7 +108,7 @@
 	hold := max(0, min(row.Hold, l.tokens))
 	back := max(0, min(row.Back, l.tokens-hold))
 	h.lent += hold - l.tokens
-	h.level = max(0, min(h.level+float64(back), h.limit.Burst-float64(h.lent)))
+	h.level = max(0, min(h.level+float64(back), h.room()))
 	if lend {
 		// Half of the level stays for other nodes unless requests wait for it.
 		available := math.Floor(h.level)
@@ -118,7 +134,7 @@
 		return 0
 	case !lend || h.limit.Rate <= 0 || h.limit.Burst < 1:
 		return max(least, Window)
-	case h.limit.Burst-float64(h.lent) < 1:
+	case h.room() < 1:
 		return max(least, Window/5)
 	}
 	missing := min((1-h.level)/h.limit.Rate, time.Minute.Seconds())
--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// NewEagerLedger returns the ledger of a home that applies each new share at once. The sum of the shares may exceed the
-// rate while views of the fleet differ, which the promise with an overage allows.
+// NewEagerLedger returns the ledger of a home that applies each new share at once and lends loosely. The sum of the shares
+// may exceed the rate while views of the fleet differ, which the promise with an overage allows.
 func NewEagerLedger(self string, now time.Duration) *Ledger {
 	l := NewLedger(self, now)
 	l.eager = true
@@ -116,7 +116,7 @@
 				share = share.WithVersion(l.first, Limit{})
 			}
 			l.shares[name] = share.WithVersion(s.version, limit)
-			l.homes[name] = NewHome(now)
+			l.homes[name] = l.newHome(now)
 		}
 	}
 	for name, share := range l.shares {
@@ -138,6 +138,13 @@
 	l.observe(now)
 }
 
+func (l *Ledger) newHome(now time.Duration) Home {
+	if l.eager {
+		return NewLooseHome(now)
+	}
+	return NewHome(now)
+}
+
 // silent tells whether a home that is not retired has not been heard since the start.
 func (l *Ledger) silent() bool {
 	for name := range l.listed {
--- a/node/account/stock.go
+++ b/node/account/stock.go
@@ -289,9 +289,12 @@
 
 // Return returns a home to which a Take is due without need of tokens, and the tokens to give back:
 // unused ones, or ones that expire soon, or none if the home only has to learn that tokens were spent,
-// since it mints nothing while it believes its whole burst to be on loan.
-func (s Stock) Return(now time.Duration) (home string, back int) {
+// since it mints nothing while it believes its whole burst to be on loan, unless it lends loosely.
+func (s Stock) Return(now time.Duration, loose bool) (home string, back int) {
 	for _, d := range s.debts {
+		if loose {
+			break
+		}
 		if now-d.sent >= Window && !s.isAsked(d.home) && s.Hold(now, d.home) < d.tokens {
 			return d.home, s.expiring(now, d.home)
 		}
--- a/node/registry/duty.go
+++ b/node/registry/duty.go
@@ -15,7 +15,7 @@
 	lateAfter = 1300 * time.Millisecond
 	// joinEvery is the time after which three times as many nodes read while confirmations stay out: readers may be
 	// turned away while others are served.
-	joinEvery = 1200 * time.Millisecond
+	joinEvery = 2500 * time.Millisecond
 )
 
 // Member is a node that may read the registry.
--- a/node/registry/feed.go
+++ b/node/registry/feed.go
@@ -25,8 +25,12 @@
 	// changePause is the time between an answer with changes and the next watch, so that one call brings the changes of
 	// a burst.
 	changePause = 200 * time.Millisecond
-	// failPause is the time after a call that failed.
-	failPause = 300 * time.Millisecond
+	// failPause is the time after a call that failed, which doubles with each further one up to maxPause; a reader waits for
+	// it each time, since the others rely on it.
+	failPause = 400 * time.Millisecond
+	maxPause  = 3 * time.Second
+	// aliveEvery is how often a reader that gets no answer says that it is there, so that the others leave the calls to it.
+	aliveEvery = 500 * time.Millisecond
 	// tellPatience is how long a node may take to answer before another one gets its errand as well: one that is paused or
 	// cut off must not hold up those behind it for long.
 	tellPatience = 300 * time.Millisecond
@@ -86,11 +90,12 @@
 	rank     int      // position of this node in the order in which nodes read
 	calling  bool
 	first    time.Time // when the first read brought a copy
-	failures int
+	failures int       // of calls in a row
 	next     time.Time // earliest start of the next call
 	whole    bool      // the next call reads the whole registry, because history is missing
 	heard    time.Time // last news from another node
 	spread   time.Time // last confirmation that this node knows to have been passed on
+	told     time.Time // last sign of life of a reader without answers
 }
 
 // batch is a copy with the items that changed in it.
@@ -270,11 +275,13 @@
 			f.failed(what, err)
 			return
 		case err != nil:
+			f.next = now.Add(f.pause())
 			f.failures++
-			f.next = now.Add(failPause)
 			f.failed(what, err)
+			f.alive(now)
 			return
 		}
+		f.failures = 0
 		f.whole = f.whole && news.After > 0
 		if f.first.IsZero() {
 			f.first = now
@@ -295,6 +302,24 @@
 	})
 }
 
+// pause returns the time after a call that failed.
+func (f *Feed) pause() time.Duration {
+	if f.rank < readers {
+		return failPause
+	}
+	return min(failPause<<min(f.failures, 8), maxPause)
+}
+
+// alive tells the other nodes that this reader is there although it gets no answer.
+func (f *Feed) alive(now time.Time) {
+	held := f.Snapshot()
+	if f.rank >= readers || held.Revision() == 0 || now.Sub(f.told) < aliveEvery {
+		return
+	}
+	f.told = now
+	f.pass(now, held.Revision(), Errands(f.s.Name, f.members, 0, true))
+}
+
 // pass sends what followed a revision along the ring; it runs on the control goroutine.
 func (f *Feed) pass(now time.Time, after int64, errands []Errand) {
 	held := f.Snapshot()
--- a/node/registry/feed_test.go
+++ b/node/registry/feed_test.go
@@ -229,3 +229,28 @@
 		})
 	}
 }
+
+// TestFeedOutage guards against a fleet that asks a store which is down for all again and again, since each call is charged.
+func TestFeedOutage(t *testing.T) {
+	f := newFleet(t, 60)
+	f.within(2*time.Second, "the first read", f.all(1, f.names...))
+	f.store.mu.Lock()
+	for _, m := range f.names {
+		f.store.down[m.Name] = true
+	}
+	before := f.store.calls
+	f.store.mu.Unlock()
+	const outage = 5 * time.Second
+	for range int(outage / tickEvery) {
+		f.manual.Advance(tickEvery)
+		time.Sleep(5 * time.Millisecond) // the messages of a tick
+	}
+	f.store.mu.Lock()
+	calls := f.store.calls - before
+	clear(f.store.down)
+	f.store.mu.Unlock()
+	// Each reader asks each 400 ms; the first to join are six, and eighteen more 2.5 s later, each less and less often.
+	require.LessOrEqual(t, calls, readers*13+6*5+18*4)
+	f.store.put(put("second", 2))
+	f.within(time.Second, "the change after the outage", f.all(2, f.names...))
+}
