account: work out the homes of all accounts in one pass

Cause: every change of the list worked out the homes of all accounts twice, with a map and a sort for each account; with 90 nodes and 87 accounts this took the processor of small instances for tens of milliseconds. Ruled out: fewer homes for an account (the bound depends on their number). Change: a placer keeps its memory and only the first candidates; shares take the homes as computed for the book; an unchanged list with unchanged accounts is skipped; the tree holds sorted slices, so that listing them copies nothing. TestPlacementCost bounds the allocations.

--- a/node/account/book.go
+++ b/node/account/book.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"verbenapin.dev/node/config"
 )
 
 // maxWaiting bounds the requests of one account that wait for a Grant at one node.
@@ -59,15 +57,6 @@
 	return b
 }
 
-// HomesOf returns the homes of every account of a tree; it is computed outside the control goroutine.
-func HomesOf(t config.Tree) map[string][]string {
-	homes := map[string][]string{}
-	for _, a := range t.Accounts() {
-		homes[a.Name] = Homes(a, t.Fleet())
-	}
-	return homes
-}
-
 // SetHomes adopts the homes of a new version. The stock of an account that it lacks is returned and dropped by Tick.
 func (b *Book) SetHomes(homes map[string][]string) {
 	b.homes = homes
--- a/node/account/control.go
+++ b/node/account/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,8 +48,10 @@
 	lends   atomic.Bool
 	// lendsFrom is when the wait after the start ended; the control goroutine owns it.
 	lendsFrom time.Time
-	fleets    int64 // calls of SetHomes, which number the shares
 	overage   float64
+	fleets    int64 // changes by SetHomes, which number the shares
+	placed    []string
+	accounts  []named
 }
 
 // New returns a limiter of the node self, whose state lives on the given loop.
@@ -90,12 +93,33 @@
 	return a
 }
 
+// named is an account with its limit.
+type named struct {
+	account string
+	limit   Limit
+}
+
+func limitsOf(t config.Tree) []named {
+	accounts := t.Accounts()
+	limits := make([]named, 0, len(accounts))
+	for _, a := range accounts {
+		limits = append(limits, named{account: a.Name, limit: Limit{Rate: a.Rate, Burst: a.Burst}})
+	}
+	return limits
+}
+
 // SetHomes adopts the homes of a fleet, or the accounts of another tree; it must be called on the control goroutine.
 func (a *Limiter) SetHomes(now time.Time, t config.Tree, homes []string) {
-	a.fleets++
 	t = t.WithHomes(homes)
-	a.ledger.SetShares(a.since(now), NewShares(a.self, t).WithVersion(a.fleets).WithOverage(a.overage))
-	a.book.SetHomes(HomesOf(t))
+	accounts := limitsOf(t)
+	if slices.Equal(homes, a.placed) && slices.Equal(accounts, a.accounts) {
+		return // most versions change routes
+	}
+	a.placed, a.accounts = homes, accounts
+	a.fleets++
+	places := HomesOf(t)
+	a.ledger.SetShares(a.since(now), NewShares(a.self, t, places).WithVersion(a.fleets).WithOverage(a.overage))
+	a.book.SetHomes(places)
 }
 
 // since returns the monotonic time since the start.
@@ -120,8 +144,9 @@
 
 // OnTree adopts a version; it must be called on the control goroutine, before the version is announced.
 func (a *Limiter) OnTree(now time.Time, t config.Tree) {
-	a.ledger.SetShares(a.since(now), NewShares(a.self, t))
-	a.book.SetHomes(HomesOf(t))
+	places := HomesOf(t)
+	a.ledger.SetShares(a.since(now), NewShares(a.self, t, places))
+	a.book.SetHomes(places)
 }
 
 // OnKnown adopts the versions known of other homes; it must be called on the control goroutine.
--- a/node/account/cost_test.go
+++ b/node/account/cost_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"verbenapin.dev/node/config"
 )
 
@@ -29,7 +31,7 @@
 	for _, h := range tree.Fleet().Homes[1:] {
 		known[h] = tree.Version()
 	}
-	l.SetShares(0, NewShares("h0", tree))
+	l.SetShares(0, NewShares("h0", tree, HomesOf(tree)))
 	l.SetKnown(0, known)
 	now := time.Duration(0)
 	for ; now < 10*time.Second; now += tickEvery {
@@ -100,7 +102,7 @@
 	for version := int64(2); b.Loop(); version++ {
 		b.StopTimer()
 		tree := costTree(version, accounts)
-		shares, homes := NewShares("h0", tree), HomesOf(tree)
+		shares, homes := NewShares("h0", tree, HomesOf(tree)), HomesOf(tree)
 		b.StartTimer()
 		l.SetShares(now, shares)
 		book.SetHomes(homes)
@@ -153,3 +155,32 @@
 		runtime.KeepAlive(tree)
 	}
 }
+
+func placementTree() config.Tree {
+	names := make([]string, 120)
+	for i := range names {
+		names[i] = fmt.Sprintf("instance-%d", i)
+	}
+	accounts := make([]config.Account, 100)
+	for i := range accounts {
+		accounts[i] = config.Account{Name: fmt.Sprintf("account-%d", i), Rate: 10, Burst: 20}
+	}
+	return config.NewTree(1, config.Fleet{Homes: names}, nil, accounts)
+}
+
+// TestPlacementCost guards against the working out of homes that takes the processor of small machines whenever one of
+// many nodes joins or leaves: the memory and the sorting must not start anew for each account.
+func TestPlacementCost(t *testing.T) {
+	tree := placementTree()
+	allocs := testing.AllocsPerRun(3, func() { HomesOf(tree) })
+	require.Less(t, allocs, 5.0*100)
+}
+
+// BenchmarkPlacement measures the change of the homes of 100 accounts in a fleet of 120 nodes.
+func BenchmarkPlacement(b *testing.B) {
+	tree := placementTree()
+	b.ReportAllocs()
+	for b.Loop() {
+		HomesOf(tree)
+	}
+}
--- a/node/account/eager_test.go
+++ b/node/account/eager_test.go
@@ -62,7 +62,7 @@
 	e.fleets[n.name]++
 	tree := config.NewTree(1, config.Fleet{Homes: e.listed}, nil,
 		[]config.Account{{Name: fleetAccount, Rate: e.limit.Rate, Burst: e.limit.Burst}})
-	n.ledger.SetShares(n.time(), NewShares(n.name, tree).WithVersion(e.fleets[n.name]).WithOverage(e.overage))
+	n.ledger.SetShares(n.time(), NewShares(n.name, tree, HomesOf(tree)).WithVersion(e.fleets[n.name]).WithOverage(e.overage))
 	n.book.SetHomes(HomesOf(tree))
 }
 
--- a/node/account/fleet_test.go
+++ b/node/account/fleet_test.go
@@ -297,7 +297,7 @@
 	f := n.f
 	tree := f.trees[version-1]
 	n.version = version
-	n.ledger.SetShares(n.time(), NewShares(n.name, tree))
+	n.ledger.SetShares(n.time(), NewShares(n.name, tree, HomesOf(tree)))
 	n.book.SetHomes(HomesOf(tree))
 	if f.bad.restartFull || f.bad.restartNow || f.bad.raiseNow {
 		n.rush(f.bad.restartFull && n.time() == 0)
--- a/node/account/joint_test.go
+++ b/node/account/joint_test.go
@@ -108,7 +108,7 @@
 	tree := j.trees[version-1]
 	n.version = version
 	n.state = n.state.WithTree(config.Manifest{Version: version}, tree)
-	n.ledger.SetShares(n.time(), NewShares(n.name, tree))
+	n.ledger.SetShares(n.time(), NewShares(n.name, tree, HomesOf(tree)))
 	n.book.SetHomes(HomesOf(tree))
 	n.ledger.SetKnown(n.time(), j.rule.known(n.state, j.at(n)))
 	j.use()
--- a/node/account/ledger.go
+++ b/node/account/ledger.go
@@ -25,8 +25,8 @@
 	limits  map[string]Limit
 }
 
-// NewShares returns the shares of a home under a tree.
-func NewShares(self string, t config.Tree) Shares {
+// NewShares returns the shares of a home under a tree whose accounts have the given homes (see HomesOf).
+func NewShares(self string, t config.Tree, homes map[string][]string) Shares {
 	s := Shares{version: t.Version(), retired: t.Fleet().Retired, limits: map[string]Limit{}}
 	for _, name := range t.Fleet().Homes {
 		if name != self {
@@ -34,7 +34,7 @@
 		}
 	}
 	for _, a := range t.Accounts() {
-		if l := ShareOf(a, Homes(a, t.Fleet()), self); l != (Limit{}) {
+		if l := ShareOf(a, homes[a.Name], self); l != (Limit{}) {
 			s.limits[a.Name] = l
 		}
 	}
@@ -120,6 +120,9 @@
 		}
 	}
 	for name, share := range l.shares {
+		if l.eager {
+			share = Share{} // earlier versions count no longer
+		}
 		l.shares[name] = share.WithVersion(s.version, s.limits[name])
 	}
 	l.current = s
--- a/node/account/share.go
+++ b/node/account/share.go
@@ -1,6 +1,8 @@
 package account
 
 import (
+	"cmp"
+	"hash"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -52,30 +54,82 @@
 
 // Homes returns the homes of an account in the order of their rendezvous hash.
 func Homes(a config.Account, fleet config.Fleet) []string {
-	names := make([]string, 0, len(fleet.Homes))
-	sums := make(map[string]uint64, len(fleet.Homes))
-	for _, name := range fleet.Homes {
-		if _, ok := sums[name]; ok || slices.Contains(fleet.Retired, name) {
-			continue
-		}
-		f := fnv.New64a()
-		_, _ = f.Write([]byte(a.Name + "\x00" + name))
-		sums[name] = mix(f.Sum64())
-		names = append(names, name)
+	return newPlacer(fleet).homes(a)
+}
+
+// HomesOf returns the homes of every account of a tree; it is computed outside the control goroutine.
+func HomesOf(t config.Tree) map[string][]string {
+	p, accounts := newPlacer(t.Fleet()), t.Accounts()
+	homes := make(map[string][]string, len(accounts))
+	for _, a := range accounts {
+		homes[a.Name] = p.homes(a)
 	}
-	slices.SortFunc(names, func(x, y string) int {
-		if sums[x] != sums[y] {
-			if sums[x] > sums[y] {
-				return -1
-			}
-			return 1
+	return homes
+}
+
+// candidate is a home with its hash for one account.
+type candidate struct {
+	sum  uint64
+	home string
+}
+
+// compare orders the candidates of an account, the first home first.
+func (c candidate) compare(o candidate) int {
+	if c.sum != o.sum {
+		return cmp.Compare(o.sum, c.sum)
+	}
+	return strings.Compare(c.home, o.home)
+}
+
+// placer works out homes in one fleet; the memory that it keeps is used again for each account.
+type placer struct {
+	names []string
+	bytes [][]byte // names after the separator that ends the name of an account
+	first []candidate
+	hash  hash.Hash64
+}
+
+func newPlacer(fleet config.Fleet) *placer {
+	p := &placer{hash: fnv.New64a()}
+	for _, name := range slices.Compact(slices.Sorted(slices.Values(fleet.Homes))) {
+		if !slices.Contains(fleet.Retired, name) {
+			p.names = append(p.names, name)
+			p.bytes = append(p.bytes, []byte("\x00"+name))
 		}
-		return strings.Compare(x, y)
-	})
-	if len(names) == 0 {
+	}
+	return p
+}
+
+func (p *placer) homes(a config.Account) []string {
+	if len(p.names) == 0 {
 		return nil
 	}
-	return names[:int(max(1, min(math.Floor(a.Burst/2), float64(len(names)))))]
+	number := int(max(1, min(math.Floor(a.Burst/2), float64(len(p.names)))))
+	account := []byte(a.Name)
+	p.first = p.first[:0]
+	for i, name := range p.names {
+		p.hash.Reset()
+		_, _ = p.hash.Write(account)
+		_, _ = p.hash.Write(p.bytes[i])
+		p.offer(candidate{sum: mix(p.hash.Sum64()), home: name}, number)
+	}
+	homes := make([]string, 0, number)
+	for _, c := range p.first {
+		homes = append(homes, c.home)
+	}
+	return homes
+}
+
+// offer keeps a candidate if it is among the given number of first ones.
+func (p *placer) offer(c candidate, number int) {
+	if len(p.first) == number {
+		if c.compare(p.first[number-1]) > 0 {
+			return
+		}
+		p.first = p.first[:number-1]
+	}
+	i, _ := slices.BinarySearchFunc(p.first, c, candidate.compare)
+	p.first = slices.Insert(p.first, i, c)
 }
 
 // mix spreads the bits of an FNV sum, whose high bits barely depend on the last bytes.
--- a/node/config/tree.go
+++ b/node/config/tree.go
@@ -110,9 +110,9 @@
 type Tree struct {
 	version  int64
 	fleet    Fleet
-	routes   map[string]Route
-	hosts    map[string][]Route
-	accounts map[string]Account
+	routes   []Route             // in the order of their names
+	hosts    map[string][]*Route // of each host, the longest path first
+	accounts []Account           // in the order of their names
 	services map[string]Service
 	keys     []keyEntry
 	origins  map[originKey]Origin
@@ -126,21 +126,19 @@
 // NewTree returns a tree of routes and accounts; names and keys must be unique.
 func NewTree(version int64, fleet Fleet, routes []Route, accounts []Account) Tree {
 	t := Tree{
-		version:  version,
-		fleet:    fleet,
-		routes:   make(map[string]Route, len(routes)),
-		hosts:    map[string][]Route{},
-		accounts: make(map[string]Account, len(accounts)),
+		version: version, fleet: fleet, hosts: map[string][]*Route{},
+		routes: slices.Clone(routes), accounts: slices.Clone(accounts),
 	}
-	for _, r := range routes {
-		t.routes[r.Name] = r
+	slices.SortFunc(t.routes, func(a, b Route) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(t.accounts, func(a, b Account) int { return strings.Compare(a.Name, b.Name) })
+	for i := range t.routes {
+		r := &t.routes[i]
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
 	}
 	for _, rs := range t.hosts {
-		slices.SortFunc(rs, func(a, b Route) int { return len(b.Path) - len(a.Path) })
+		slices.SortFunc(rs, func(a, b *Route) int { return len(b.Path) - len(a.Path) })
 	}
-	for _, a := range accounts {
-		t.accounts[a.Name] = a
+	for _, a := range t.accounts {
 		for _, d := range a.Keys {
 			t.keys = append(t.keys, keyEntry{digest: d, account: a.Name})
 		}
@@ -178,41 +176,33 @@
 
 // Route returns the route with the given name.
 func (t Tree) Route(name string) (Route, bool) {
-	r, ok := t.routes[name]
-	return r, ok
+	i, ok := slices.BinarySearchFunc(t.routes, name, func(r Route, name string) int { return strings.Compare(r.Name, name) })
+	if !ok {
+		return Route{}, false
+	}
+	return t.routes[i], true
 }
 
 // Account returns the account with the given name.
 func (t Tree) Account(name string) (Account, bool) {
-	a, ok := t.accounts[name]
-	return a, ok
-}
-
-// Routes returns all routes in the order of their names.
-func (t Tree) Routes() []Route {
-	rs := make([]Route, 0, len(t.routes))
-	for _, r := range t.routes {
-		rs = append(rs, r)
+	i, ok := slices.BinarySearchFunc(t.accounts, name, func(a Account, name string) int { return strings.Compare(a.Name, name) })
+	if !ok {
+		return Account{}, false
 	}
-	slices.SortFunc(rs, func(a, b Route) int { return strings.Compare(a.Name, b.Name) })
-	return rs
+	return t.accounts[i], true
 }
 
-// Accounts returns all accounts in the order of their names.
-func (t Tree) Accounts() []Account {
-	as := make([]Account, 0, len(t.accounts))
-	for _, a := range t.accounts {
-		as = append(as, a)
-	}
-	slices.SortFunc(as, func(a, b Account) int { return strings.Compare(a.Name, b.Name) })
-	return as
-}
+// Routes returns all routes in the order of their names; the caller must not change the slice.
+func (t Tree) Routes() []Route { return t.routes }
+
+// Accounts returns all accounts in the order of their names; the caller must not change the slice.
+func (t Tree) Accounts() []Account { return t.accounts }
 
 // Match returns the route with the longest matching path under the host.
 func (t Tree) Match(host, path string) (Route, bool) {
 	for _, r := range t.hosts[host] {
 		if hasPrefix(path, r.Path) {
-			return r, true
+			return *r, true
 		}
 	}
 	return Route{}, false
--- a/node/daemon/probe.go
+++ b/node/daemon/probe.go
@@ -10,9 +10,10 @@
 )
 
 func (n *Node) probeBudget() float64 {
-	budget := 0.0
-	for _, r := range n.store.Snapshot().Tree().Routes() {
-		if r.Service == n.live().service && (budget == 0 || r.Probe < budget) {
+	budget, service := 0.0, n.live().service
+	routes := n.store.Snapshot().Tree().Routes()
+	for i := range routes {
+		if r := &routes[i]; r.Service == service && (budget == 0 || r.Probe < budget) {
 			budget = r.Probe
 		}
 	}
