registry: pass large values on in the compressed form that they are kept in

Cause: a configuration was compressed anew for each node that it was passed on to, and kept at its full size. Change: items of 4 KB and more are compressed once and kept so; the decoder unpacks them. Ruled out: compressing at the transport (it starts anew for each call).

--- a/node/registry/feed.go
+++ b/node/registry/feed.go
@@ -192,12 +192,9 @@
 		}
 		changes := make([]Change, 0, len(b.items))
 		for _, i := range b.items {
-			c := Change{Item: i}
-			if !i.Gone {
-				var err error
-				if c.Fact, err = f.s.Decode(i); err != nil {
-					f.failed("reading an item", err)
-				}
+			c, err := f.change(i)
+			if err != nil {
+				f.failed("reading an item", err)
 			}
 			changes = append(changes, c)
 		}
@@ -205,6 +202,18 @@
 	}
 }
 
+func (f *Feed) change(i Item) (Change, error) {
+	if i.Gone {
+		return Change{Item: i}, nil
+	}
+	i, err := i.WithValue()
+	if err != nil {
+		return Change{Item: i}, err
+	}
+	fact, err := f.s.Decode(i)
+	return Change{Item: i, Fact: fact}, err
+}
+
 // Standing returns what the decision to read depends on; it runs on the control goroutine.
 func (f *Feed) Standing(now time.Time) Standing {
 	held := f.Snapshot()
@@ -248,7 +257,7 @@
 		if cached {
 			news.Age = Unconfirmed
 		}
-		f.done("reading the registry", news, err)
+		f.packed("reading the registry", news, err)
 	})
 }
 
@@ -259,10 +268,18 @@
 		ctx, cancel := context.WithTimeout(f.ctx, wait+callTimeout)
 		defer cancel()
 		news, err := f.s.Source.Watch(ctx, after, wait)
-		f.done("watching the registry", news, err)
+		f.packed("watching the registry", news, err)
 	})
 }
 
+// packed packs the outcome of a call before the control goroutine takes it.
+func (f *Feed) packed(what string, news News, err error) {
+	if err == nil {
+		news, err = news.WithPacked()
+	}
+	f.done(what, news, err)
+}
+
 // done takes the outcome of a call and passes on what it brought.
 func (f *Feed) done(what string, news News, err error) {
 	at := f.s.Clock.Now()
--- a/node/registry/item.go
+++ b/node/registry/item.go
@@ -3,8 +3,11 @@
 package registry
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"verbenapin.dev/node/config"
@@ -15,10 +18,67 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision int64 // of its last change
+	Packed   []byte // compressed form of a large value, in place of Value
+	Revision int64  // of its last change
 	Gone     bool
 }
 
+const (
+	// packFrom is the size from which values are kept and passed on in compressed form: a configuration shrinks to a tenth,
+	// and compressing it anew for every node that it is passed on to would take most of what a change costs.
+	packFrom = 4 << 10
+	// maxValue bounds an item's value; the registry's answers have at most 16 MB.
+	maxValue = 16 << 20
+)
+
+// ValueError reports an item whose packed value cannot be used.
+type ValueError struct {
+	Key    string
+	Reason string
+}
+
+func (e ValueError) Error() string { return fmt.Sprintf("registry: item %q: %s", e.Key, e.Reason) }
+
+// WithPacked returns the item as it is kept and passed on.
+func (i Item) WithPacked() (Item, error) {
+	if len(i.Value) < packFrom {
+		return i, nil
+	}
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return i, fmt.Errorf("registry: packing %q: %w", i.Key, err)
+	}
+	if _, err := w.Write(i.Value); err != nil {
+		return i, fmt.Errorf("registry: packing %q: %w", i.Key, err)
+	}
+	if err := w.Close(); err != nil {
+		return i, fmt.Errorf("registry: packing %q: %w", i.Key, err)
+	}
+	i.Value, i.Packed = nil, b.Bytes()
+	return i, nil
+}
+
+// WithValue returns the item with its value, which is not packed.
+func (i Item) WithValue() (Item, error) {
+	if len(i.Packed) == 0 {
+		return i, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(i.Packed))
+	if err != nil {
+		return i, fmt.Errorf("registry: unpacking %q: %w", i.Key, err)
+	}
+	value, err := io.ReadAll(io.LimitReader(r, maxValue+1))
+	switch {
+	case err != nil:
+		return i, fmt.Errorf("registry: unpacking %q: %w", i.Key, err)
+	case len(value) > maxValue:
+		return i, ValueError{Key: i.Key, Reason: fmt.Sprintf("its value is larger than %d bytes", maxValue)}
+	}
+	i.Value, i.Packed = value, nil
+	return i, nil
+}
+
 // News are the changes after one revision up to another one.
 type News struct {
 	After    int64 // zero for a whole copy
@@ -28,6 +88,20 @@
 	Age time.Duration
 }
 
+// WithPacked returns the news with their items as these are kept and passed on.
+func (n News) WithPacked() (News, error) {
+	items := make([]Item, 0, len(n.Items))
+	for _, i := range n.Items {
+		packed, err := i.WithPacked()
+		if err != nil {
+			return n, err
+		}
+		items = append(items, packed)
+	}
+	n.Items = items
+	return n, nil
+}
+
 // Unconfirmed is the age of news that nobody has confirmed.
 const Unconfirmed time.Duration = -1
 
--- a/node/registry/rpc/rpc.go
+++ b/node/registry/rpc/rpc.go
@@ -8,16 +8,12 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
 
 	"verbenapin.dev/node/registry"
 	"verbenapin.dev/node/registry/rpc/pb"
 )
 
-// compressFrom is the size of items from which a telling is compressed; a configuration shrinks to a tenth.
-const compressFrom = 4 << 10
-
 // Server takes tellings of other nodes.
 type Server struct {
 	pb.UnimplementedRegistryServer
@@ -34,7 +30,9 @@
 		t.News.Age = time.Duration(age-1) * time.Millisecond
 	}
 	for _, i := range in.GetItems() {
-		t.News.Items = append(t.News.Items, registry.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Gone: i.GetGone()})
+		t.News.Items = append(t.News.Items, registry.Item{
+			Key: i.GetKey(), Value: i.GetValue(), Packed: i.GetPacked(), Revision: i.GetRevision(), Gone: i.GetGone(),
+		})
 	}
 	revision, err := s.Receive(ctx, t)
 	if err != nil {
@@ -59,16 +57,10 @@
 	if t.News.Age >= 0 {
 		in.Age = uint32(min(t.News.Age, time.Hour)/time.Millisecond) + 1
 	}
-	size := 0
 	for _, i := range t.News.Items {
-		in.Items = append(in.Items, &pb.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Gone: i.Gone})
-		size += len(i.Value)
-	}
-	var options []grpc.CallOption
-	if size >= compressFrom {
-		options = append(options, grpc.UseCompressor(gzip.Name))
+		in.Items = append(in.Items, &pb.Item{Key: i.Key, Value: i.Value, Packed: i.Packed, Revision: i.Revision, Gone: i.Gone})
 	}
-	out, err := pb.NewRegistryClient(conn).Tell(ctx, in, options...)
+	out, err := pb.NewRegistryClient(conn).Tell(ctx, in)
 	if err != nil {
 		return 0, fmt.Errorf("registry: telling %s: %w", addr, err)
 	}
