--- a/node/account/decision_test.go
+++ b/node/account/decision_test.go
@@ -187,7 +187,7 @@
 	homes := []string{"a", "b"}
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	shares := func(version int64, limit Limit) Shares {
-		return sharesOf("a", fleetTree(version, homes, nil, limit))
+		return sharesOf(fleetTree(version, homes, nil, limit))
 	}
 	known := func(version int64) map[string]int64 { return map[string]int64{"b": version} }
 	// run ticks up to a time.
@@ -291,10 +291,10 @@
 		"a retired home is dropped from both lists": {want: 5, ledger: func() *Ledger {
 			all := []string{"a", "b", "c"}
 			l := NewLedger("a", 0)
-			l.SetShares(0, sharesOf("a", fleetTree(1, all, nil, limit)))
+			l.SetShares(0, sharesOf(fleetTree(1, all, nil, limit)))
 			l.SetKnown(0, map[string]int64{"b": 1, "c": 1})
 			run(l, 0, ms(3000))
-			l.SetShares(ms(3000), sharesOf("a", fleetTree(2, all, []string{"c"}, limit)))
+			l.SetShares(ms(3000), sharesOf(fleetTree(2, all, []string{"c"}, limit)))
 			l.SetShares(ms(3000), shares(3, limit))
 			l.SetKnown(ms(3000), known(3))
 			run(l, ms(3000), ms(9980))
@@ -302,7 +302,7 @@
 		}},
 		"a removed home is not retired": {want: 3, ledger: func() *Ledger {
 			l := NewLedger("a", 0)
-			l.SetShares(0, sharesOf("a", fleetTree(1, []string{"a", "b", "c"}, nil, limit)))
+			l.SetShares(0, sharesOf(fleetTree(1, []string{"a", "b", "c"}, nil, limit)))
 			l.SetKnown(0, map[string]int64{"b": 1, "c": 1})
 			run(l, 0, ms(3000))
 			l.SetShares(ms(3000), shares(2, limit))
@@ -312,7 +312,7 @@
 		}},
 		"a removed home holds the new version": {want: 5, ledger: func() *Ledger {
 			l := NewLedger("a", 0)
-			l.SetShares(0, sharesOf("a", fleetTree(1, []string{"a", "b", "c"}, nil, limit)))
+			l.SetShares(0, sharesOf(fleetTree(1, []string{"a", "b", "c"}, nil, limit)))
 			l.SetKnown(0, map[string]int64{"b": 1, "c": 1})
 			run(l, 0, ms(3000))
 			l.SetShares(ms(3000), shares(2, limit))
@@ -432,4 +432,4 @@
 	}
 }
 
-func sharesOf(self string, t config.Tree) Shares { return NewShares(self, t, HomesOf(t)) }
+func sharesOf(t config.Tree) Shares { return NewShares("a", t, HomesOf(t)) }
--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -62,7 +62,12 @@
 			Reached: failure.Reached, Idempotent: q.route.Idempotent, Retrying: IsRetried(state),
 			Replayable: body.replayable(), Remaining: deadline.Sub(s.now()),
 		}
-		if len(names) == 0 || !s.mayRetry(*q, failed) {
+		if len(names) == 0 {
+			q.result.Stopped = StopNone
+		} else {
+			q.result.Stopped = s.mayRetry(*q, failed)
+		}
+		if q.result.Stopped != "" {
 			if err != nil {
 				err = Final(failures, len(names) > 0)
 			}
@@ -116,14 +121,19 @@
 	return q.pass.Confirm()
 }
 
-// mayRetry applies the plan and the budget.
-func (s *Server) mayRetry(q request, failed Attempt) bool {
+// mayRetry applies the plan and the budget; it returns why there is no further attempt, empty if there is one.
+func (s *Server) mayRetry(q request, failed Attempt) Stop {
 	allowed, paid := MayRetry(failed)
-	if !allowed || q.Context().Err() != nil || (paid && !s.tries.Retry(q.route)) {
-		return false
+	switch {
+	case !allowed:
+		return StopPlan
+	case q.Context().Err() != nil:
+		return StopGone
+	case paid && !s.tries.Retry(q.route):
+		return StopBudget
 	}
 	s.events.Retried(q.route.Name)
-	return true
+	return ""
 }
 
 // replay is a request body that may be sent more than once.
--- a/node/caller/plan.go
+++ b/node/caller/plan.go
@@ -15,6 +15,17 @@
 	maxRefusals = 3
 )
 
+// Stop is why a failed request is not offered to another target.
+type Stop string
+
+// Reasons of a Stop.
+const (
+	StopPlan   Stop = "plan"   // the request may have run, reached as many targets as it may, or has no time left
+	StopNone   Stop = "none"   // there was no target left to try
+	StopGone   Stop = "gone"   // the caller left
+	StopBudget Stop = "budget" // repeats of the service used up their budget
+)
+
 // minRemaining is the time below which another attempt cannot end before the deadline.
 const minRemaining = 2 * time.Millisecond
 
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -62,7 +62,10 @@
 	Route    string // empty if none was found
 	Account  string // empty on open routes, and if no key was known
 	Target   string // instance of the last attempt
+	Service  string // that the request was meant for
+	Version  int64  // of the configuration that admitted the request, zero if none did
 	Attempts int
+	Stopped  Stop            // why there was no further attempt, empty if none was needed
 	Status   int             // of the target's response, zero for a refusal
 	Refusal  *answer.Refusal // nil for a response
 	Broken   error           // why a response did not reach the caller completely
@@ -329,6 +332,7 @@
 func (s *Server) ended(q request) {
 	r := q.result
 	r.ID, r.Route, r.Account, r.Whole = q.id, q.route.Name, q.account, s.now().Sub(q.begun)
+	r.Service, r.Version = q.route.Service, q.version
 	s.events.Ended(q.Context(), r)
 }
 
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -142,6 +142,11 @@
 	"fetching a manifest":       "manifest of another node could not be fetched: check the connections between nodes",
 	"fetching a version":        "version could not be fetched: publish all its parts, and check the connections between nodes",
 	"building a version":        "version was rejected: check the declarations with verbctl check",
+	"reading the registry":      "registry could not be read",
+	"watching the registry":     "changes of the registry could not be read",
+	"reading an item":           "an entry of the registry cannot be used and is left out",
+	"passing news on":           "changes of the registry could not be passed on to another node",
+	"exchanging notices":        "notices of load could not be exchanged with other nodes",
 	"offering a version":        "version could not be offered: check the connections between nodes",
 }
 
--- a/node/daemon/observe_test.go
+++ b/node/daemon/observe_test.go
@@ -28,6 +28,7 @@
 	"verbenapin.dev/node/config"
 	"verbenapin.dev/node/journal"
 	"verbenapin.dev/node/operator"
+	"verbenapin.dev/node/peer"
 	"verbenapin.dev/node/target"
 )
 
@@ -184,13 +185,13 @@
 func TestEnded(t *testing.T) {
 	t.Parallel()
 	refusal := answer.NotRun(answer.Busy, "the queue is full")
-	last := target.Stages{Choice: time.Millisecond, Hop: 290 * time.Millisecond, Queue: 20 * time.Millisecond, Target: 250 * time.Millisecond}
+	last := target.Stages{Reason: "least", Expected: 3 * time.Millisecond, Choice: time.Millisecond, Hop: 290 * time.Millisecond, Queue: 20 * time.Millisecond, Target: 250 * time.Millisecond}
 	cases := map[string]struct {
 		result caller.Result
-		text   any // of the line, nil for none
+		text   string // of the line
 		count  string
 	}{
-		"answered": {result: caller.Result{Status: 200, Head: 99 * time.Millisecond, Whole: time.Second}, count: `answered{class="2xx",route="read"}`},
+		"answered": {result: caller.Result{Status: 200, Head: 99 * time.Millisecond, Whole: time.Second}, text: "request answered", count: `answered{class="2xx",route="read"}`},
 		"slow":     {result: caller.Result{Status: 200, Head: 101 * time.Millisecond}, text: "request was slow", count: `answered{class="2xx",route="read"}`},
 		"refused":  {result: caller.Result{Refusal: &refusal}, text: "request refused", count: `refused{code="busy",route="read",run="no"}`},
 		"target broke off": {
@@ -210,6 +211,7 @@
 			n := &Node{metrics: metrics, settings: Settings{Slow: 100 * time.Millisecond}}
 			n.journal = journal.New(&log, logrus.InfoLevel, "a1", clock.New())
 			tc.result.ID, tc.result.Route, tc.result.Target, tc.result.Wait, tc.result.Last = "r-1", "read", "b1", 2*time.Millisecond, last
+			tc.result.Service, tc.result.Version, tc.result.Stopped = "app", 7, caller.StopBudget
 			n.ended(context.Background(), tc.result)
 			n.journal.Close()
 			require.NoError(t, metrics.Close())
@@ -217,13 +219,64 @@
 			metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 			require.Contains(t, w.Body.String(), "verbenapin_"+tc.count+" 1")
 			var line map[string]any
-			if tc.text == nil {
+			require.NoError(t, json.Unmarshal(log.Bytes(), &line))
+			require.Equal(t, []any{tc.text, "r-1", "b1", "app", 7.0, "least", 3.0, "budget"}, []any{
+				line["text"], line["id"], line["instance"], line["service"], line["version"], line["chosen"], line["expected"], line["stopped"],
+			})
+			require.Equal(t, map[string]any{"account": 2.0, "choice": 1.0, "hop": 290.0, "queue": 20.0, "target": 250.0}, line["stages"])
+		})
+	}
+}
+
+// TestAttemptLines guards against an attempt whose failure, or whose refusal at a gate, nobody can find by the id of its
+// request.
+func TestAttemptLines(t *testing.T) {
+	t.Parallel()
+	busy := answer.NotRun(answer.Busy, "the wait is longer than expected")
+	attempt := peer.Attempt{Number: 2, Hedge: true, Choice: peer.Choice{Name: "b1", Reason: peer.Spill, Wait: 4 * time.Millisecond}}
+	r := httptest.NewRequest(http.MethodGet, "/read", nil)
+	r.Header.Set(answer.HeaderRequestID, "r-1")
+	call := target.Call{Request: r, Route: "read", Account: "one", Target: "b1"}
+	reply := target.Reply{
+		Load:     target.Load{Running: 3, Queued: 1, Limit: 9},
+		Stages:   target.Stages{Hop: 20 * time.Millisecond, Queue: 5 * time.Millisecond},
+		Response: &http.Response{StatusCode: http.StatusOK},
+	}
+	cases := map[string]struct {
+		write func(n *Node)
+		want  map[string]any // nil for no line
+	}{
+		"attempt failed": {write: func(n *Node) { n.logAttempt("r-1", "read", attempt, reply, busy) }, want: map[string]any{
+			"text": "attempt failed", "instance": "b1", "attempt": 2.0, "hedge": true, "chosen": "spill", "expected": 4.0,
+			"took": 20.0, "code": "busy", "run": "no", "reason": "the wait is longer than expected",
+		}},
+		"attempt without a refusal": {write: func(n *Node) { n.logAttempt("r-1", "read", attempt, reply, peer.LoserError{}) }, want: map[string]any{
+			"text": "attempt failed", "cause": peer.LoserError{}.Error(),
+		}},
+		"attempt answered": {write: func(n *Node) { n.logAttempt("r-1", "read", attempt, reply, nil) }},
+		"gate refused": {write: func(n *Node) { n.logGate(call, reply, busy) }, want: map[string]any{
+			"text": "attempt refused at the gate", "instance": "b1", "account": "one", "code": "busy",
+			"gate": map[string]any{"running": 3.0, "queued": 1.0, "limit": 9.0},
+		}},
+		"gate served": {write: func(n *Node) { n.logGate(call, reply, nil) }, want: map[string]any{"text": "attempt served", "status": 200.0}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var log bytes.Buffer
+			n := &Node{gate: &target.Server{Dialect: answer.Own()}}
+			n.journal = journal.New(&log, logrus.InfoLevel, "a1", clock.New())
+			tc.write(n)
+			n.journal.Close()
+			if tc.want == nil {
 				require.Empty(t, log.String())
 				return
 			}
+			var line map[string]any
 			require.NoError(t, json.Unmarshal(log.Bytes(), &line))
-			require.Equal(t, []any{tc.text, "r-1", "b1"}, []any{line["text"], line["id"], line["instance"]})
-			require.Equal(t, map[string]any{"account": 2.0, "choice": 1.0, "hop": 290.0, "queue": 20.0, "target": 250.0}, line["stages"])
+			tc.want["id"], tc.want["route"] = "r-1", "read"
+			for field, want := range tc.want {
+				require.Equal(t, want, line[field], field)
+			}
 		})
 	}
 }
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -94,7 +94,7 @@
 	return registry.Settings{
 		Name: n.settings.Name, Domain: n.settings.Domain, Loop: n.loop, Clock: n.clock,
 		Source: n.platform.Source, Cached: n.platform.First, Decode: n.platform.Decode,
-		Changed: n.onRegistry, Failed: n.failed,
+		Changed: n.onRegistry, Failed: n.failed, Regained: n.regained,
 		Tell: func(ctx context.Context, addr string, t registry.Telling) (int64, error) {
 			return registryrpc.Client{Conn: func(addr string) (grpc.ClientConnInterface, error) { return n.pool.Conn(addr) }}.Tell(ctx, addr, t)
 		},
@@ -118,12 +118,17 @@
 			continue
 		case fact.Target != nil:
 			targets, moved = targets.WithTarget(key, *fact.Target), true
+			n.journal.Decided("target is listed", journal.Instance(fact.Target.Name), journal.Service(fact.Target.Service),
+				journal.Domain(fact.Target.Domain), journal.Target(string(fact.Target.State)), journal.Revision(change.Item.Revision))
 			continue
 		}
 		// The entry was removed, or holds nothing that can be used.
 		if domain := n.facts.domains[key]; domain != "" && n.facts.setOut(key, "") {
 			n.journal.Info("failure domain is brought back", journal.Domain(domain), journal.Revision(change.Item.Revision))
 		}
+		if row, ok := targets.Target(key); ok {
+			n.journal.Decided("target is no longer listed", journal.Instance(row.Name), journal.Revision(change.Item.Revision))
+		}
 		targets, moved = targets.WithRemoval(now, key, c.Returned()), true
 	}
 	n.facts.targets = targets
@@ -132,6 +137,11 @@
 	}
 }
 
+// regained logs that the registry answers again.
+func (n *Node) regained(calls int, outage time.Duration) {
+	n.journal.Info("registry answers again", journal.Count(calls), journal.Took(outage))
+}
+
 // factsWait is how long a fresh node leaves the connections of callers unread until it knows a configuration and targets.
 // Callers count a request as unread for a second at least, while a refusal would use up one of their few attempts.
 const factsWait = 700 * time.Millisecond
@@ -193,6 +203,9 @@
 	if moved || tree.Version() != n.facts.version {
 		n.limiter.SetHomes(now, tree, homes)
 	}
+	if moved {
+		n.journal.Decided("nodes of the fleet changed", journal.Count(len(homes)), journal.Version(tree.Version()))
+	}
 	n.facts.homes, n.facts.version = homes, tree.Version()
 }
 
--- a/node/daemon/trace.go
+++ b/node/daemon/trace.go
@@ -63,10 +63,12 @@
 	span.Inject(h)
 	span.Attempt(a.Number, a.Hedge)
 	span.Chosen(a.Choice.Name, string(a.Choice.Reason), a.Choice.Wait)
+	id := h.Get(n.gate.Dialect.ID)
 	return ctx, func(reply target.Reply, err error) {
 		if reply.Stages.Hop > 0 {
 			n.metrics.Waited(operator.StageHop, reply.Stages.Hop)
 		}
+		n.logAttempt(id, route, a, reply, err)
 		endHop(span, reply, err)
 	}
 }
@@ -82,7 +84,8 @@
 	if reply.Stages.Target > 0 {
 		n.metrics.Waited(operator.StageTarget, reply.Stages.Target)
 	}
-	span.Request(call.Request.Header.Get(answer.HeaderRequestID), call.Route, call.Account)
+	span.Request(call.Request.Header.Get(n.gate.Dialect.ID), call.Route, call.Account)
+	n.logGate(call, reply, err)
 	span.Queued(reply.Stages.Queue)
 	span.Served(reply.Stages.Target)
 	if err != nil || !span.On() {
--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -88,6 +88,35 @@
 	Target  float64 `json:"target"`
 }
 
+// Number is the number of an attempt, from 1.
+func Number(n int) Field { return Field{name: "attempt", value: n} }
+
+// Hedge tells whether an attempt ran beside the one before it.
+func Hedge(yes bool) Field { return Field{name: "hedge", value: yes} }
+
+// Chosen is why a target was chosen.
+func Chosen(reason string) Field { return Field{name: "chosen", value: reason} }
+
+// Stopped is why there was no further attempt.
+func Stopped(reason string) Field { return Field{name: "stopped", value: reason} }
+
+// Expected is the wait at a gate that its report let expect, in milliseconds.
+func Expected(d time.Duration) Field { return Field{name: "expected", value: milliseconds(d)} }
+
+// Target is a state that the platform lists for a target.
+func Target(state string) Field { return Field{name: "state", value: state} }
+
+// Gate is the state of a gate when it decided on a request.
+func Gate(running, queued, limit int) Field {
+	return Field{name: "gate", value: gate{Running: running, Queued: queued, Limit: limit}}
+}
+
+type gate struct {
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	Limit   int `json:"limit"`
+}
+
 // Took is a time that passed, in milliseconds.
 func Took(d time.Duration) Field { return Field{name: "took", value: milliseconds(d)} }
 
--- a/node/journal/journal.go
+++ b/node/journal/journal.go
@@ -19,14 +19,19 @@
 // libraryFault stands for a line of a library whose text may contain a part of a request.
 const libraryFault Message = "library reported a fault"
 
-// Journal writes lines; its methods may be called from any goroutine.
+// dropped stands for lines that a slow reader of the log left no room for.
+const dropped Message = "log lines were dropped, because the reader of the log is too slow"
+
+// Journal writes lines without waiting for their reader; its methods may be called from any goroutine.
 type Journal struct {
 	log     *logrus.Logger
+	out     *writer
 	node    Field
 	ticking *clock.Subscription
 
 	mu     sync.Mutex
 	limits map[subject]Limit
+	lines  int // written in the period
 }
 
 // subject is what makes two lines the same for the limit.
@@ -38,14 +43,14 @@
 
 // New returns a journal of the named node that writes lines of the level and above to w.
 func New(w io.Writer, level logrus.Level, name string, c *clock.Clock) *Journal {
-	l := logrus.New()
-	l.SetOutput(w)
+	l, out := logrus.New(), newWriter(w)
+	l.SetOutput(out)
 	l.SetLevel(level)
 	l.SetFormatter(&stamped{clock: c, json: logrus.JSONFormatter{
 		TimestampFormat: "2006-01-02T15:04:05.000000Z07:00",
 		FieldMap:        logrus.FieldMap{logrus.FieldKeyMsg: "text"},
 	}})
-	j := &Journal{log: l, node: Field{name: "node", value: plain(name)}, limits: map[subject]Limit{}}
+	j := &Journal{log: l, out: out, node: Field{name: "node", value: plain(name)}, limits: map[subject]Limit{}}
 	j.ticking = c.Subscribe(period, func(_ time.Time) { j.report() })
 	return j
 }
@@ -81,6 +86,27 @@
 // Error writes a line about a fault that needs an operator.
 func (j *Journal) Error(m Message, fields ...Field) { j.limited(logrus.ErrorLevel, most, m, fields) }
 
+// Decided writes a line about a decision on one request that its caller may ask about: a refusal, a failed attempt.
+func (j *Journal) Decided(m Message, fields ...Field) {
+	j.limited(logrus.InfoLevel, mostDecided, m, fields)
+}
+
+// Answered writes a line about a request that went as expected; these are the first ones to be left out.
+func (j *Journal) Answered(m Message, fields ...Field) {
+	n := mostAnswered
+	if j.out.isCrowded() || j.isBusy() {
+		n = 0
+	}
+	j.limited(logrus.InfoLevel, n, m, fields)
+}
+
+// isBusy tells whether half of the lines of the period are written.
+func (j *Journal) isBusy() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.lines >= mostLines/2
+}
+
 // SetLevel changes the lowest level that is written.
 func (j *Journal) SetLevel(level logrus.Level) { j.log.SetLevel(level) }
 
@@ -90,10 +116,11 @@
 	return log.New(libraryWriter{journal: j, name: name}, "", 0)
 }
 
-// Close reports the lines held back and ends the reports.
+// Close reports the lines held back and waits until they are written, for a bounded time.
 func (j *Journal) Close() {
 	j.ticking.Close()
 	j.report()
+	j.out.Close()
 }
 
 func (j *Journal) limited(level logrus.Level, n int, m Message, fields []Field) {
@@ -102,8 +129,14 @@
 	}
 	k := subject{level: level, message: m, code: codeOf(fields)}
 	j.mu.Lock()
+	if j.lines >= mostLines {
+		n = 0
+	}
 	l, write := j.limits[k].WithLine(n)
 	j.limits[k] = l
+	if write {
+		j.lines++
+	}
 	j.mu.Unlock()
 	if write {
 		j.write(level, m, fields)
@@ -125,8 +158,11 @@
 func (j *Journal) report() {
 	j.mu.Lock()
 	limits := j.limits
-	j.limits = map[subject]Limit{}
+	j.limits, j.lines = map[subject]Limit{}, 0
 	j.mu.Unlock()
+	if n := j.out.takeDropped(); n > 0 {
+		j.write(logrus.WarnLevel, dropped, []Field{Count(n)})
+	}
 	for k, l := range limits {
 		if n := l.Repeats(); n > 0 {
 			j.write(k.level, k.message, []Field{{name: "repeats", value: n}, {name: codeName, value: k.code}})
--- a/node/journal/journal_test.go
+++ b/node/journal/journal_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"net/url"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,22 +25,55 @@
 // start returns a journal on a manual clock; the function returns the lines written since its last call.
 func start(level logrus.Level) (*Journal, *clock.Manual, func() []map[string]any) {
 	m := clock.NewManual(time.Unix(0, 0).UTC())
-	var out bytes.Buffer
-	j := New(&out, level, "a1", m.Clock())
+	out := &buffer{}
+	j := New(out, level, "a1", m.Clock())
 	return j, m, func() []map[string]any {
+		j.out.settle()
 		var lines []map[string]any
-		for line := range strings.Lines(out.String()) {
+		for line := range strings.Lines(out.take()) {
 			var fields map[string]any
 			if err := json.Unmarshal([]byte(line), &fields); err != nil {
 				panic(err)
 			}
 			lines = append(lines, fields)
 		}
-		out.Reset()
 		return lines
 	}
 }
 
+// buffer is a log that a test reads while it is written.
+type buffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+// Write takes lines.
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *buffer) take() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer b.data.Reset()
+	return b.data.String()
+}
+
+// settle waits until all lines are written.
+func (w *writer) settle() {
+	for {
+		w.mu.Lock()
+		idle := len(w.pending) == 0 && !w.writing
+		w.mu.Unlock()
+		if idle {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
 // TestLine guards against a field that is missing, misnamed or contains what a caller sent.
 func TestLine(t *testing.T) {
 	secret := &url.Error{Op: "Get", URL: "http://127.0.0.1/?key=secret", Err: errors.New("refused")}
--- a/node/journal/limit.go
+++ b/node/journal/limit.go
@@ -5,8 +5,15 @@
 const (
 	// period is the time after which the lines held back are counted.
 	period = 10 * time.Second
-	// most is the number of lines with one level and text in a period; the following ones only count.
+	// most is the number of lines about the node with one level and text in a period; the following ones only count.
 	most = 5
+	// mostDecided and mostAnswered are the numbers of lines about requests with one text and code in a period. A node
+	// takes part in a few hundred requests in a second at most, and each line takes about 10 µs of the processor.
+	mostDecided  = 1000
+	mostAnswered = 500
+	// mostLines bounds the lines of all kinds in a period, 300 a second or about 150 KB/s; those about requests that went
+	// as expected get half of it.
+	mostLines = 3000
 )
 
 // Limit counts the lines with one level and text in the current period.
--- a/node/registry/feed.go
+++ b/node/registry/feed.go
@@ -73,6 +73,9 @@
 	Changed func(now time.Time, c Copy, changes []Change)
 	// Failed is told of errors, for the log.
 	Failed func(what string, err error)
+	// Regained is called on the control goroutine when a call succeeds after some that failed, with the time since the
+	// first of them; nil for nobody.
+	Regained func(calls int, outage time.Duration)
 }
 
 // Feed keeps the copy up to date.
@@ -91,6 +94,7 @@
 	calling  bool
 	first    time.Time // when the first read brought a copy
 	failures int       // of calls in a row
+	lost     time.Time // the first of them
 	next     time.Time // earliest start of the next call
 	whole    bool      // the next call reads the whole registry, because history is missing
 	heard    time.Time // last news from another node
@@ -293,11 +297,17 @@
 			return
 		case err != nil:
 			f.next = now.Add(f.pause())
+			if f.failures == 0 {
+				f.lost = now
+			}
 			f.failures++
 			f.failed(what, err)
 			f.alive(now)
 			return
 		}
+		if f.failures > 0 && f.s.Regained != nil {
+			f.s.Regained(f.failures, now.Sub(f.lost))
+		}
 		f.failures = 0
 		f.whole = f.whole && news.After > 0
 		if f.first.IsZero() {
--- a/node/registry/feed_test.go
+++ b/node/registry/feed_test.go
@@ -69,12 +69,14 @@
 	names  []Member
 	mu     sync.Mutex
 	cut    map[string]bool // nodes that no message reaches
+	// outages are the times for which nodes had no answer of the registry, by their names.
+	outages map[string]time.Duration
 }
 
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{
 		t: t, store: &store{down: map[string]bool{}}, manual: clock.NewManual(start), feeds: map[string]*Feed{},
-		names: members(n, 3), cut: map[string]bool{},
+		names: members(n, 3), cut: map[string]bool{}, outages: map[string]time.Duration{},
 	}
 	for i := range f.names {
 		f.names[i].Control = f.names[i].Name
@@ -91,6 +93,11 @@
 			Tell:    func(ctx context.Context, addr string, t Telling) (int64, error) { return f.tell(ctx, m.Name, addr, t) },
 			Decode:  func(Item) (Fact, error) { return Fact{Target: &instance.Instance{}}, nil },
 			Changed: func(time.Time, Copy, []Change) {},
+			Regained: func(_ int, outage time.Duration) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.outages[m.Name] = outage
+			},
 		})
 		f.feeds[m.Name] = feed
 		others := slices.DeleteFunc(slices.Clone(f.names), func(o Member) bool { return o.Name == m.Name })
@@ -230,7 +237,8 @@
 	}
 }
 
-// TestFeedOutage guards against a fleet that asks a store which is down for all again and again, since each call is charged.
+// TestFeedOutage guards against a fleet that asks a store which is down for all again and again, since each call is charged,
+// and against an outage that nobody can find in the log.
 func TestFeedOutage(t *testing.T) {
 	f := newFleet(t, 60)
 	f.within(2*time.Second, "the first read", f.all(1, f.names...))
@@ -253,4 +261,11 @@
 	require.LessOrEqual(t, calls, readers*13+6*5+18*4)
 	f.store.put(put("second", 2))
 	f.within(time.Second, "the change after the outage", f.all(2, f.names...))
+	reading, _ := f.readersOf()
+	f.within(time.Second, "the end of the outage in the log", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		logged := f.outages[reading[0].Name]
+		return logged >= outage-watchWait && logged <= outage+time.Second
+	})
 }
--- a/node/registry/targets.go
+++ b/node/registry/targets.go
@@ -28,6 +28,12 @@
 	entries map[string]listed
 }
 
+// Target returns the target of an entry.
+func (t Targets) Target(key string) (instance.Instance, bool) {
+	e, ok := t.entries[key]
+	return e.target, ok
+}
+
 // WithTarget returns the targets after an entry was written.
 func (t Targets) WithTarget(key string, target instance.Instance) Targets {
 	t.entries = maps.Clone(t.entries)
