registry: let one reader watch and two stand by

A node whose link was full never connected to it, since the connect had 400 ms and each call 700 ms. Ruled out: two readers (both turned away at once leaves 1.3 s without news); a longer watch (its age bounds how soon the others notice that it is lost). Change: the first reader watches; the second asks when the last confirmation is 0.5 s old, the third after 1 s. A call after a failed one has 1.4 s. Targets that are listed many at once get one line in the log.

link: let large responses share the link of their instance

Ruled out: processor time (0.05 of 0.16 cores at most), notices. Change: package link paces bodies from 16 KB at four fifths of the link that the settings state; a gate refuses a large response that the link would carry too late, so that it goes to another target.

--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -93,6 +93,8 @@
 	Dialect answer.Dialect
 	// Origin returns the service beside this node, which targets are told where the dialect asks for it.
 	Origin func() string
+	// Pace returns a response whose body passes as the link of the instance allows; it must not change after Serve.
+	Pace func(ctx context.Context, res *http.Response) *http.Response
 
 	now     func() time.Time
 	tree    func() (config.Tree, error)
@@ -136,7 +138,8 @@
 ) *Server {
 	s := &Server{
 		Dialect: answer.Own(), Origin: func() string { return "" },
-		now: now, tree: tree, spend: spend, tries: tries, events: events, faults: faults,
+		Pace: func(_ context.Context, res *http.Response) *http.Response { return res },
+		now:  now, tree: tree, spend: spend, tries: tries, events: events, faults: faults,
 		closing: make(chan struct{}), conns: map[*conn]bool{},
 	}
 	s.second = newSecond(http.HandlerFunc(s.serve), faults)
@@ -321,7 +324,7 @@
 		return
 	}
 	q.result.Status, q.result.Head = reply.Response.StatusCode, s.now().Sub(q.begun)
-	q.result.Broken = s.Dialect.Relay(w, reply.Response)
+	q.result.Broken = s.Dialect.Relay(w, s.Pace(ctx, reply.Response))
 	s.ended(q)
 	if q.result.Broken != nil {
 		panic(http.ErrAbortHandler)
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -20,6 +20,7 @@
 	"verbenapin.dev/node/instance"
 	"verbenapin.dev/node/instance/rpc"
 	"verbenapin.dev/node/journal"
+	"verbenapin.dev/node/link"
 	"verbenapin.dev/node/loop"
 	"verbenapin.dev/node/operator"
 	"verbenapin.dev/node/otlp"
@@ -57,6 +58,7 @@
 	splits     *account.Splits // used instead of the limiter for comparison
 	admission  *target.Admission
 	transport  *target.Transport
+	link       *link.Link // nil unless its speed is set
 	gate       *target.Server
 	dispatcher *peer.Dispatcher
 
@@ -132,6 +134,7 @@
 		return err
 	}
 	n.services = &http.Client{}
+	n.link = link.New(s.Link)
 	n.members = instance.New(n.memberSettings())
 	if n.store, err = n.newStore(files); err != nil {
 		_ = n.tracer.Close()
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// listedLines is the number of changes at once up to which each listed target gets a line; a fresh node reads a whole fleet.
+const listedLines = 10
+
 // onRegistry takes what changed in the registry; it runs on the control goroutine.
 func (n *Node) onRegistry(now time.Time, c registry.Copy, changes []registry.Change) {
 	targets, moved := n.facts.targets, false
@@ -118,8 +121,10 @@
 			continue
 		case fact.Target != nil:
 			targets, moved = targets.WithTarget(key, *fact.Target), true
-			n.journal.Decided("target is listed", journal.Instance(fact.Target.Name), journal.Service(fact.Target.Service),
-				journal.Domain(fact.Target.Domain), journal.Target(string(fact.Target.State)), journal.Revision(change.Item.Revision))
+			if len(changes) <= listedLines {
+				n.journal.Decided("target is listed", journal.Instance(fact.Target.Name), journal.Service(fact.Target.Service),
+					journal.Domain(fact.Target.Domain), journal.Target(string(fact.Target.State)), journal.Revision(change.Item.Revision))
+			}
 			continue
 		}
 		// The entry was removed, or holds nothing that can be used.
@@ -131,6 +136,9 @@
 		}
 		targets, moved = targets.WithRemoval(now, key, c.Returned()), true
 	}
+	if len(changes) > listedLines {
+		n.journal.Decided("many entries of the registry changed", journal.Count(len(changes)), journal.Revision(c.Revision()))
+	}
 	n.facts.targets = targets
 	if moved {
 		n.members.SetList(now, targets.List())
--- a/node/daemon/settings.go
+++ b/node/daemon/settings.go
@@ -50,6 +50,7 @@
 	Ready   string `long:"ready" env:"VERBENAPIN_READY" value-name:"IP:PORT" description:"Listener that only answers whether the node is ready, for a platform that may not reach --admin"`
 	Grace   string `long:"grace" env:"VERBENAPIN_GRACE" value-name:"TIME" default:"30s" description:"Longest graceful shutdown, with unit, at least 3s and at most 1h"`
 	Log     string `long:"log" env:"VERBENAPIN_LOG" value-name:"LEVEL" default:"info" description:"Lowest level to log: debug, info, warn or error"`
+	Link    string `long:"link" env:"VERBENAPIN_LINK" value-name:"SPEED" default:"0Mbit/s" description:"Speed of the instance's network link, such as 100Mbit/s, of which large responses get four fifths; 0Mbit/s sets no limit"`
 	Slow    string `long:"slow" env:"VERBENAPIN_SLOW" value-name:"TIME" default:"250ms" description:"Requests whose response head takes longer are logged with their stages; 0s logs none"`
 	Trace   string `long:"trace" env:"VERBENAPIN_TRACE" value-name:"URL" description:"OTLP endpoint for spans (OTLP over HTTP), such as http://127.0.0.1:4318, to which /v1/traces is added if it has no path; without it no span is recorded"`
 	Sample  string `long:"sample" env:"VERBENAPIN_SAMPLE" value-name:"PERCENT" default:"1%" description:"Share of requests to trace when the caller has not decided, 0% to 100%"`
@@ -77,6 +78,7 @@
 	Fed     bool           // the platform's registry gives configuration and instances
 	Grace   time.Duration
 	Log     logrus.Level
+	Link    float64       // speed of the instance's network link in bytes per second, zero for no limit
 	Slow    time.Duration // zero logs no slow requests
 	Trace   *url.URL      // nil if tracing is off
 	Sample  float64       // share of requests, 0 to 1
@@ -146,6 +148,7 @@
 		List:    c.url("list", f.List, f.Tree == "", "http", "https"),
 		Grace:   c.grace(f.Grace),
 		Log:     c.level(f.Log),
+		Link:    c.speed(f.Link),
 		Slow:    c.slow(f.Slow),
 		Trace:   c.url("trace", f.Trace, false, "http", "https"),
 		Sample:  c.share("sample", f.Sample),
@@ -260,6 +263,19 @@
 	return d
 }
 
+// bytesInMbit is the number of bytes in a megabit.
+const bytesInMbit = 125_000
+
+func (c *checker) speed(value string) float64 {
+	n, unit := strings.CutSuffix(value, "Mbit/s")
+	x, err := strconv.ParseFloat(n, 64)
+	if !unit || err != nil || !(x >= 0 && x <= 1e6) {
+		c.fault("--link", fmt.Sprintf("%q is not a speed", value), "use a number from 0 to 1000000 with its unit, such as 100Mbit/s, or 0Mbit/s for no limit")
+		return 0
+	}
+	return x * bytesInMbit
+}
+
 func (c *checker) level(value string) logrus.Level {
 	switch value {
 	case "debug", "info", "warn", "error":
--- a/node/daemon/settings_test.go
+++ b/node/daemon/settings_test.go
@@ -34,6 +34,9 @@
 		"slow without unit":     {args: fleet + " --slow 250", faults: []string{"--slow"}},
 		"slow below zero":       {args: fleet + " --slow=-1s", faults: []string{"--slow"}},
 		"not a number":          {args: fleet + " --sample NaN%", faults: []string{"--sample"}},
+		"link":                  {args: alone + " --link 10.5Mbit/s"},
+		"link without unit":     {args: fleet + " --link 10", faults: []string{"--link"}},
+		"link below zero":       {args: fleet + " --link=-1Mbit/s", faults: []string{"--link"}},
 		"bad level":             {args: fleet + " --log loud", faults: []string{"--log"}},
 		"address without port":  {args: fleet + " --admin 127.0.0.1", faults: []string{"--admin"}},
 		"shared port":           {args: fleet + " --admin 127.0.0.1:3", faults: []string{"--admin"}},
@@ -73,7 +76,7 @@
 	require.ErrorAs(t, err, &help)
 	for _, flag := range []string{
 		"name", "domain", "service", "target", "caller", "peer", "control", "admin", "config", "tree", "list",
-		"cert", "key", "ca", "grace", "log", "trace", "sample", "check",
+		"cert", "key", "ca", "grace", "link", "log", "trace", "sample", "check",
 	} {
 		require.Contains(t, help.Text, "--"+flag)
 		require.Contains(t, help.Text, "[$VERBENAPIN_"+strings.ToUpper(flag)+"]")
--- a/node/daemon/trace.go
+++ b/node/daemon/trace.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"verbenapin.dev/node/answer"
 	"verbenapin.dev/node/caller"
@@ -79,7 +80,7 @@
 	if span.On() {
 		call.Request = call.Request.WithContext(ctx)
 	}
-	reply, err := n.gate.Do(call)
+	reply, err := n.admit(call)
 	n.metrics.Waited(operator.StageQueue, reply.Stages.Queue)
 	if reply.Stages.Target > 0 {
 		n.metrics.Waited(operator.StageTarget, reply.Stages.Target)
@@ -97,6 +98,29 @@
 	return reply, nil
 }
 
+// admit runs an attempt unless its response would be late because large responses wait for the link of the instance.
+func (n *Node) admit(call target.Call) (target.Reply, error) {
+	backlog := n.link.Backlog()
+	if backlog == 0 {
+		return n.gate.Do(call)
+	}
+	route, ok := n.store.Snapshot().Tree().Route(call.Route)
+	if !ok || !route.Bulk || backlog < timeFor(n.clock.Now(), call) {
+		return n.gate.Do(call)
+	}
+	return target.Reply{Load: n.admission.Load(), Reported: true},
+		answer.NotRun(answer.Busy, "large responses fill the link of the target's instance")
+}
+
+// timeFor returns the time in which the response of an attempt is wanted: until its aim, or until its deadline once that
+// has passed.
+func timeFor(now time.Time, call target.Call) time.Duration {
+	if left := call.Aim.Sub(now); left > 0 {
+		return left
+	}
+	return call.Deadline.Sub(now)
+}
+
 // roundTrip sends a request to the target, with a span until the head of its response.
 func (n *Node) roundTrip(r *http.Request) (*http.Response, error) {
 	ctx, span := n.tracer.Start(r.Context(), otlp.HopTarget)
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -39,6 +39,10 @@
 	}
 	n.callers = caller.NewServer(n.clock.Now, n.store.Current, spend,
 		caller.Tries{Try: n.try, Retry: n.dispatcher.Retry, Divide: n.dispatcher.Divide}, n.events(), n.journal.Library("caller"))
+	n.callers.Pace = n.link.Pace
+	if n.peers != nil {
+		n.peers.Pace = n.link.Pace
+	}
 	if n.platform != nil {
 		n.speak(n.platform.Dialect)
 	}
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -25,6 +25,8 @@
 	Dialect answer.Dialect
 	// Sent is called with the name of the node that sent a request, if it told one.
 	Sent func(node string)
+	// Pace returns a response whose body passes as the link of the instance allows; it must not change after Serve.
+	Pace func(ctx context.Context, res *http.Response) *http.Response
 
 	http *http.Server
 	now  func() time.Time
@@ -37,7 +39,10 @@
 func NewServer(
 	now func() time.Time, cfg *tls.Config, do func(target.Call) (target.Reply, error), load func() target.Load, faults *log.Logger,
 ) *Server {
-	s := &Server{Dialect: answer.Own(), Sent: func(string) {}, now: now, do: do, load: load}
+	s := &Server{
+		Dialect: answer.Own(), Sent: func(string) {}, now: now, do: do, load: load,
+		Pace: func(_ context.Context, res *http.Response) *http.Response { return res },
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	s.http = &http.Server{
@@ -96,7 +101,7 @@
 	setMicroseconds(w.Header(), answer.HeaderQueue, reply.Stages.Queue)
 	w.Header().Set(answer.HeaderLoad, s.load().String())
 	setMicroseconds(w.Header(), answer.HeaderTook, s.now().Sub(begun))
-	if err := s.Dialect.Relay(w, reply.Response); err != nil {
+	if err := s.Dialect.Relay(w, s.Pace(r.Context(), reply.Response)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/node/registry/duty.go
+++ b/node/registry/duty.go
@@ -7,9 +7,13 @@
 )
 
 const (
-	// readers is how many nodes watch the registry. Each call is charged; with three, one in each of three failure
-	// domains, two can be lost at once and the third still brings each change.
+	// readers is how many nodes read the registry while all is well, one in each of three failure domains: two can be lost at
+	// once and the third still brings each change.
 	readers = 3
+	// standbyAfter is the age of the last confirmation from which the second reader asks as well, and the third one after
+	// twice that. Each call is charged, and a watch of each of them would answer each change three times; the second one's
+	// reading still brings a change in time that the first one missed.
+	standbyAfter = 500 * time.Millisecond
 	// lateAfter is the age of the last confirmation from which other nodes read as well. Changes have to be in force 2 s
 	// after the registry accepted them, so a second reading must start well before.
 	lateAfter = 1300 * time.Millisecond
@@ -64,16 +68,18 @@
 	Heard time.Duration // since the last news of a reader, Unconfirmed if there were none
 }
 
-// IsReader tells whether the node reads while all is well.
-func (s Standing) IsReader() bool { return s.Rank < readers }
+// Watches tells whether the node waits for changes, which only the first reader does; the others ask for those so far.
+func (s Standing) Watches() bool { return s.Rank == 0 && s.Age != Unconfirmed && s.Age < lateAfter }
 
-// MayRead tells whether the node reads now: always as a reader, and otherwise if confirmations stay out. A node that
+// MayRead tells whether the node reads now: always as the first reader, and otherwise if confirmations stay out. A node that
 // hears no reader either may be cut off from all of them and reads at once; if readers are heard but get no answer
 // themselves, others join step by step, because the registry may be down for all and each call is charged.
 func (s Standing) MayRead() bool {
 	switch {
-	case s.IsReader(), s.Age == Unconfirmed:
+	case s.Age == Unconfirmed:
 		return true
+	case s.Rank < readers:
+		return s.Age >= time.Duration(s.Rank)*standbyAfter
 	case s.Age < lateAfter:
 		return false
 	case s.Heard == Unconfirmed || s.Heard >= lateAfter:
--- a/node/registry/duty_test.go
+++ b/node/registry/duty_test.go
@@ -16,7 +16,11 @@
 		standing Standing
 		want     bool
 	}{
-		"reader":                              {standing: Standing{Rank: 2, Age: 0, Heard: 0}, want: true},
+		"first reader":                        {standing: Standing{Rank: 0, Age: 0, Heard: 0}, want: true},
+		"second reader":                       {standing: Standing{Rank: 1, Age: 400 * ms, Heard: 0}},
+		"second reader, a little late":        {standing: Standing{Rank: 1, Age: 500 * ms, Heard: 0}, want: true},
+		"third reader":                        {standing: Standing{Rank: 2, Age: 900 * ms, Heard: 0}},
+		"third reader, late":                  {standing: Standing{Rank: 2, Age: time.Second, Heard: 0}, want: true},
 		"not a reader":                        {standing: Standing{Rank: 3, Age: 0, Heard: 0}},
 		"fresh node":                          {standing: Standing{Rank: 50, Age: Unconfirmed, Heard: Unconfirmed}, want: true},
 		"a little late":                       {standing: Standing{Rank: 3, Age: 1200 * ms, Heard: 0}},
--- a/node/registry/feed.go
+++ b/node/registry/feed.go
@@ -18,7 +18,8 @@
 	// what the fleet knows.
 	watchWait = time.Second
 	// callTimeout is what a call may take beyond the time that a watch waits. The registry answers within
-	// milliseconds; on a connection that went silent, nothing else ends a call.
+	// milliseconds; on a connection that went silent, nothing else ends a call. After a call that failed it doubles, since the
+	// node's own link may be full and delay each packet by half a second.
 	callTimeout = 700 * time.Millisecond
 	// readTimeout bounds the reading of a whole copy, which may have several pages of up to 1 MB.
 	readTimeout = 2 * time.Second
@@ -245,10 +246,10 @@
 		f.read(f.s.Cached && f.failures == 0)
 	case f.whole:
 		f.read(false)
-	case standing.Age == Unconfirmed || standing.Age >= lateAfter:
-		f.watch(0)
-	default:
+	case standing.Watches():
 		f.watch(watchWait)
+	default:
+		f.watch(0)
 	}
 }
 
@@ -267,9 +268,12 @@
 
 // watch gets the changes since the revision held, and waits for one if there is none.
 func (f *Feed) watch(wait time.Duration) {
-	after := f.Snapshot().Revision()
+	after, timeout := f.Snapshot().Revision(), wait+callTimeout
+	if f.failures > 0 {
+		timeout += callTimeout
+	}
 	f.running.Go(func() {
-		ctx, cancel := context.WithTimeout(f.ctx, wait+callTimeout)
+		ctx, cancel := context.WithTimeout(f.ctx, timeout)
 		defer cancel()
 		news, err := f.s.Source.Watch(ctx, after, wait)
 		f.packed("watching the registry", news, err)
