--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -324,7 +324,7 @@
 		return
 	}
 	q.result.Status, q.result.Head = reply.Response.StatusCode, s.now().Sub(q.begun)
-	q.result.Broken = s.Dialect.Relay(w, s.Pace(ctx, reply.Response))
+	q.result.Broken = s.Dialect.Relay(w, s.Pace(ctx, reply.Response)) //nolint:bodyclose // Relay closes it
 	s.ended(q)
 	if q.result.Broken != nil {
 		panic(http.ErrAbortHandler)
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -101,7 +101,7 @@
 	setMicroseconds(w.Header(), answer.HeaderQueue, reply.Stages.Queue)
 	w.Header().Set(answer.HeaderLoad, s.load().String())
 	setMicroseconds(w.Header(), answer.HeaderTook, s.now().Sub(begun))
-	if err := s.Dialect.Relay(w, s.Pace(r.Context(), reply.Response)); err != nil {
+	if err := s.Dialect.Relay(w, s.Pace(r.Context(), reply.Response)); err != nil { //nolint:bodyclose // Relay closes it
 		panic(http.ErrAbortHandler)
 	}
 }
