--- /dev/null
+++ b/ctl/command/request.go
@@ -0,0 +1,168 @@
+package command
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// maxLine bounds a line of a log.
+const maxLine = 1 << 20
+
+type requestCommand struct {
+	std  Streams
+	Args struct {
+		ID   string   `positional-arg-name:"ID" required:"yes"`
+		Logs []string `positional-arg-name:"LOG"`
+	} `positional-args:"yes"`
+}
+
+// NoLinesError reports a request that no log tells of.
+type NoLinesError struct {
+	ID    string
+	Lines int // read
+}
+
+func (e NoLinesError) Error() string {
+	return fmt.Sprintf("command: none of %d lines tells of request %q: check that the logs of its entry node at that time are complete", e.Lines, e.ID)
+}
+
+// logLine is a line of a node's log as far as it concerns a request.
+type logLine struct {
+	Time     string  `json:"time"`
+	Node     string  `json:"node"`
+	Text     string  `json:"text"`
+	ID       string  `json:"id"`
+	Route    string  `json:"route"`
+	Account  string  `json:"account"`
+	Service  string  `json:"service"`
+	Version  int64   `json:"version"`
+	Instance string  `json:"instance"`
+	Chosen   string  `json:"chosen"`
+	Expected float64 `json:"expected"` // milliseconds
+	Attempt  int     `json:"attempt"`
+	Count    int     `json:"count"`
+	Code     string  `json:"code"`
+	Run      string  `json:"run"`
+	Reason   string  `json:"reason"`
+	Cause    string  `json:"cause"`
+	Stopped  string  `json:"stopped"`
+	Status   int     `json:"status"`
+	Took     float64 `json:"took"` // milliseconds
+	Stages   *struct {
+		Account, Choice, Hop, Queue, Target float64 // milliseconds
+	} `json:"stages"`
+	Gate *struct{ Running, Queued, Limit int } `json:"gate"`
+}
+
+// Execute implements flags.Commander.
+func (c *requestCommand) Execute([]string) error {
+	var lines []logLine
+	read := 0
+	collect := func(in io.Reader) error {
+		found, n, err := linesOf(in, c.Args.ID)
+		lines, read = append(lines, found...), read+n
+		return err
+	}
+	if len(c.Args.Logs) == 0 {
+		if err := collect(c.std.In); err != nil {
+			return fmt.Errorf("command: reading the log from standard input: %w", err)
+		}
+	}
+	for _, path := range c.Args.Logs {
+		if err := readLog(path, collect); err != nil {
+			return fmt.Errorf("command: reading the log %s: %w", path, err)
+		}
+	}
+	if len(lines) == 0 {
+		return NoLinesError{ID: c.Args.ID, Lines: read}
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.Time, b.Time) })
+	for _, l := range lines {
+		if _, err := fmt.Fprintln(c.std.Out, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(path string, collect func(io.Reader) error) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	return collect(f)
+}
+
+// linesOf returns the lines about a request, and the number of lines read. What stands before the first brace of a line,
+// such as the name of an instance, and lines that are no JSON are passed over.
+func linesOf(in io.Reader, id string) ([]logLine, int, error) {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLine)
+	var found []logLine
+	n := 0
+	for ; scanner.Scan(); n++ {
+		text := scanner.Text()
+		at := strings.IndexByte(text, '{')
+		if at < 0 || !strings.Contains(text, id) {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal([]byte(text[at:]), &l) == nil && l.ID == id {
+			found = append(found, l)
+		}
+	}
+	return found, n, scanner.Err()
+}
+
+// String returns the line in the order in which an operator asks.
+func (l logLine) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s: %s", l.Time, l.Node, l.Text)
+	add := func(name, value string) {
+		if value != "" && value != "0" {
+			fmt.Fprintf(&b, " %s=%s", name, value)
+		}
+	}
+	ms := func(name string, value float64) {
+		if value >= 0.1 {
+			add(name, strconv.FormatFloat(value, 'f', 1, 64)+"ms")
+		}
+	}
+	add("code", l.Code)
+	add("run", l.Run)
+	add("status", strconv.Itoa(l.Status))
+	add("attempt", strconv.Itoa(l.Attempt))
+	add("attempts", strconv.Itoa(l.Count))
+	add("stopped", l.Stopped)
+	add("target", l.Instance)
+	add("chosen", l.Chosen)
+	ms("expected", l.Expected)
+	if l.Gate != nil {
+		add("gate", fmt.Sprintf("%d running, %d queued, limit %d", l.Gate.Running, l.Gate.Queued, l.Gate.Limit))
+	}
+	ms("took", l.Took)
+	if l.Stages != nil {
+		ms("tokens", l.Stages.Account)
+		ms("choice", l.Stages.Choice)
+		ms("hop", l.Stages.Hop)
+		ms("queue", l.Stages.Queue)
+		ms("target", l.Stages.Target)
+	}
+	add("route", l.Route)
+	add("account", l.Account)
+	add("service", l.Service)
+	add("version", strconv.FormatInt(l.Version, 10))
+	for _, text := range []string{l.Reason, l.Cause} {
+		if text != "" {
+			fmt.Fprintf(&b, " (%s)", text)
+		}
+	}
+	return b.String()
+}
--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -85,7 +85,7 @@
 		journal.Stages(journal.Times{Queue: reply.Stages.Queue, Target: reply.Stages.Target}),
 	}
 	if err != nil {
-		n.journal.Decided("attempt refused at the gate", append(fields, causeOf(err)...)...)
+		n.journal.Decided("attempt failed at the gate", append(fields, causeOf(err)...)...)
 		return
 	}
 	n.journal.Answered("attempt served", append(fields, journal.Status(reply.Response.StatusCode))...)
--- a/node/daemon/observe_test.go
+++ b/node/daemon/observe_test.go
@@ -255,7 +255,7 @@
 		}},
 		"attempt answered": {write: func(n *Node) { n.logAttempt("r-1", "read", attempt, reply, nil) }},
 		"gate refused": {write: func(n *Node) { n.logGate(call, reply, busy) }, want: map[string]any{
-			"text": "attempt refused at the gate", "instance": "b1", "account": "one", "code": "busy",
+			"text": "attempt failed at the gate", "instance": "b1", "account": "one", "code": "busy",
 			"gate": map[string]any{"running": 3.0, "queued": 1.0, "limit": 9.0},
 		}},
 		"gate served": {write: func(n *Node) { n.logGate(call, reply, nil) }, want: map[string]any{"text": "attempt served", "status": 200.0}},
--- a/node/journal/writer_test.go
+++ b/node/journal/writer_test.go
@@ -85,7 +85,7 @@
 	for range mostLines {
 		j.Answered("request answered")
 		j.Answered("attempt served")
-		for _, m := range []Message{"request refused", "attempt failed", "attempt refused at the gate", "response broke off"} {
+		for _, m := range []Message{"request refused", "attempt failed", "attempt failed at the gate", "response broke off"} {
 			j.Decided(m)
 		}
 	}
