--- a/node/caller/conn_test.go
+++ b/node/caller/conn_test.go
@@ -184,6 +184,21 @@
 	}
 }
 
+// TestMethods guards against a method that concerns proxies and reaches a target, which would show it the headers of others.
+func TestMethods(t *testing.T) {
+	for _, method := range []string{http.MethodTrace, http.MethodConnect} {
+		t.Run(method, func(t *testing.T) {
+			s := newSite(t, config.Client{}, func(*http.Request) (*http.Response, error) { return text("reached a target") })
+			c := s.dial()
+			_, err := io.WriteString(c, method+" /read HTTP/1.1\r\nHost: app.example\r\n\r\n")
+			require.NoError(t, err)
+			got := bodyOf(t, bufio.NewReader(c))
+			require.Contains(t, got, "400 ")
+			require.Contains(t, got, "is not passed on")
+		})
+	}
+}
+
 // TestContinue guards against a body that is asked for before a target wants it, and against a connection that is used
 // again although the body may still follow.
 func TestContinue(t *testing.T) {
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -344,6 +344,9 @@
 	if headSize(q.Request) > maxHeadBytes {
 		return q, answer.NotRun(answer.Large, "the request head is larger than 64 KB")
 	}
+	if q.Method == http.MethodTrace || q.Method == http.MethodConnect {
+		return q, answer.NotRun(answer.Path, "the method "+q.Method+" concerns the connection to a proxy and is not passed on")
+	}
 	host, path, err := Clean(q.Host, rawPath(q.Request))
 	if err != nil {
 		return q, answer.NotRun(answer.Path, err.Error())
--- a/node/config/tree.go
+++ b/node/config/tree.go
@@ -165,6 +165,12 @@
 // Service returns what is stated about a service; an unknown one has no statements.
 func (t Tree) Service(name string) Service { return t.services[name] }
 
+// Serves tells whether a service is known: one that is stated, or any if the tree states none.
+func (t Tree) Serves(name string) bool {
+	_, ok := t.services[name]
+	return ok || len(t.services) == 0
+}
+
 // Version returns the number of the version.
 func (t Tree) Version() int64 { return t.version }
 
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -183,7 +184,7 @@
 	if tree.Version() > 0 && view.Nodes() > 0 {
 		n.facts.once.Do(func() { close(n.facts.known) })
 	}
-	n.onNodes(now, view, tree)
+	n.onNodes(now, tree)
 	row, ok := n.ownTarget()
 	if ok {
 		n.admission.SetIdentity(now, target.Identity{
@@ -195,10 +196,10 @@
 }
 
 // onNodes passes the nodes of the fleet on to the parts that divide work among them, if they or the configuration changed.
-func (n *Node) onNodes(now time.Time, view instance.View, tree config.Tree) {
+func (n *Node) onNodes(now time.Time, tree config.Tree) {
 	homes := []string{n.settings.Name}
 	var members []registry.Member
-	for _, row := range view.Hosts() {
+	for _, row := range hostsOf(n.facts.targets.List(), tree) {
 		if row.Host() != n.settings.Name {
 			homes = append(homes, row.Host())
 			members = append(members, registry.Member{Name: row.Host(), Domain: row.Domain, Control: row.Control})
@@ -217,6 +218,21 @@
 	n.facts.homes, n.facts.version = homes, tree.Version()
 }
 
+// hostsOf returns a row of each node beside a listed target, in the order of the nodes' names. An entry that names an unknown
+// service comes from another writer; a node that does not exist must not become the home of an account.
+func hostsOf(targets []instance.Instance, tree config.Tree) []instance.Instance {
+	seen := map[string]bool{}
+	var hosts []instance.Instance
+	for _, row := range targets {
+		if tree.Serves(row.Service) && !seen[row.Host()] {
+			seen[row.Host()] = true
+			hosts = append(hosts, row)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b instance.Instance) int { return strings.Compare(a.Host(), b.Host()) })
+	return hosts
+}
+
 // ownTarget returns the entry of the target beside this node, the youngest if there are several.
 func (n *Node) ownTarget() (instance.Instance, bool) {
 	var own instance.Instance
--- /dev/null
+++ b/node/daemon/registry_test.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/instance"
+)
+
+// TestHostsOf guards against a node that does not exist and becomes the home of an account, and against one that is counted
+// twice because two targets have its address.
+func TestHostsOf(t *testing.T) {
+	row := func(name, node, service string) instance.Instance {
+		return instance.Instance{Name: name, Node: node, Service: service}
+	}
+	services := config.NewTree(1, config.Fleet{}, nil, nil).WithServices([]config.Service{{Name: "read"}, {Name: "write"}})
+	cases := map[string]struct {
+		targets []instance.Instance
+		tree    config.Tree
+		want    []string
+	}{
+		"none":               {tree: services},
+		"in order":           {targets: []instance.Instance{row("a", "n2", "read"), row("b", "n1", "write")}, tree: services, want: []string{"n1", "n2"}},
+		"two at one address": {targets: []instance.Instance{row("a", "n1", "read"), row("b", "n1", "write")}, tree: services, want: []string{"n1"}},
+		"unknown service":    {targets: []instance.Instance{row("a", "n1", "odd"), row("b", "n2", "write")}, tree: services, want: []string{"n2"}},
+		"unknown beside known": {
+			targets: []instance.Instance{row("a", "n1", "odd"), row("b", "n1", "write")}, tree: services, want: []string{"n1"},
+		},
+		"no configuration yet": {targets: []instance.Instance{row("a", "n1", "odd")}, want: []string{"n1"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			for _, h := range hostsOf(tc.targets, tc.tree) {
+				got = append(got, h.Host())
+			}
+			require.Equal(t, tc.want, got)
+		})
+	}
+}
