--- /dev/null
+++ b/node/caller/request.go
@@ -0,0 +1,232 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/target"
+)
+
+// request is one caller's request with what was found out about it.
+type request struct {
+	*http.Request
+	received http.Header // headers as the caller sent them
+	id       string
+	route    config.Route
+	account  string
+	key      config.Digest
+	rank     target.Rank
+	version  int64 // of the configuration that admitted the request
+	begun    time.Time
+	pass     Pass
+	result   Result
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := request{Request: r, received: r.Header, id: s.requestID(r.Header), begun: s.now(), pass: free()}
+	q.Request = r.WithContext(s.events.Begun(r.Context(), r.Header))
+	w.Header().Set(s.Dialect.ID, q.id)
+	q, err := s.admit(q)
+	if err != nil {
+		s.refuse(w, q, err)
+		return
+	}
+	trace, stop := s.Dialect.Informational(w)
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(q.Context(), trace))
+	defer cancel()
+	q.Request = s.outgoing(ctx, q)
+	reply, err := s.attempt(&q)
+	stop()
+	if err != nil {
+		s.refuse(w, q, err)
+		return
+	}
+	q.result.Status, q.result.Head = reply.Response.StatusCode, s.now().Sub(q.begun)
+	q.result.Broken = s.Dialect.Relay(w, s.Pace(ctx, reply.Response)) //nolint:bodyclose // Relay closes it
+	s.ended(q)
+	if q.result.Broken != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// ended reports the request to operators.
+func (s *Server) ended(q request) {
+	r := q.result
+	r.ID, r.Route, r.Account, r.Whole = q.id, q.route.Name, q.account, s.now().Sub(q.begun)
+	r.Service, r.Version = q.route.Service, q.version
+	s.events.Ended(q.Context(), r)
+}
+
+// admit applies the rules of configuration, keys and rates to a request.
+func (s *Server) admit(q request) (request, error) {
+	if headSize(q.Request) > maxHeadBytes {
+		return q, answer.NotRun(answer.Large, "the request head is larger than 64 KB")
+	}
+	if q.Method == http.MethodTrace || q.Method == http.MethodConnect {
+		return q, answer.NotRun(answer.Path, "the method "+q.Method+" concerns the connection to a proxy and is not passed on")
+	}
+	host, path, err := Clean(q.Host, rawPath(q.Request))
+	if err != nil {
+		return q, answer.NotRun(answer.Path, err.Error())
+	}
+	tree, err := s.tree()
+	if err != nil {
+		return q, err
+	}
+	route, ok := tree.Match(host, path)
+	if !ok {
+		return q, answer.NotRun(answer.Route, "no route matches host and path")
+	}
+	if s.tries.Divide != nil {
+		route = s.tries.Divide(route)
+	}
+	q.route, q.version, q.rank = route, tree.Version(), target.Rank{Route: route.Rank}
+	if route.Open {
+		return q, nil
+	}
+	key := s.Dialect.KeyOf(q.Header)
+	if key == "" {
+		return q, answer.NotRun(answer.Key, "the route needs a key")
+	}
+	q.key = config.DigestOf(key)
+	account, ok := tree.Authenticate(q.key)
+	if !ok {
+		return q, answer.NotRun(answer.Key, "the key is unknown or was revoked")
+	}
+	q.account, q.rank.Account = account.Name, account.Rank
+	if !account.Allows(route.Name) {
+		return q, answer.NotRun(answer.Scope, "the account may not use the route")
+	}
+	if !account.Limited() {
+		return q, nil
+	}
+	begun := s.now()
+	pass, err := s.spend(q.Context(), account.Name)
+	q.result.Wait = s.now().Sub(begun)
+	if err != nil {
+		return q, err
+	}
+	q.pass = pass
+	return q, nil
+}
+
+// outgoing returns the request as targets may see it.
+func (s *Server) outgoing(ctx context.Context, q request) *http.Request {
+	out := q.Clone(ctx)
+	h := out.Header
+	s.Dialect.Strip(h)
+	answer.StripHop(h)
+	for _, name := range s.Dialect.Secrets {
+		h.Del(name)
+	}
+	h.Set(s.Dialect.ID, q.id)
+	setOrDelete(h, s.Dialect.Account, q.account)
+	setOrDelete(h, s.Dialect.Origin, s.Origin())
+	if s.Dialect.Trace {
+		cleanTrace(h)
+	}
+	return out
+}
+
+// setOrDelete sets a header, or removes it if there is no value; an empty name does nothing.
+func setOrDelete(h http.Header, name, value string) {
+	switch {
+	case name == "":
+	case value == "":
+		h.Del(name)
+	default:
+		h.Set(name, value)
+	}
+}
+
+// traceparent is the form of W3C trace context, version 00; later versions only append fields.
+var traceparent = regexp.MustCompile(`^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}`)
+
+// cleanTrace joins the lines of the trace state, and starts a trace where there is no valid one: applications
+// drop the trace state, which marks repeated attempts, if its trace is missing or invalid.
+func cleanTrace(h http.Header) {
+	if parents := h.Values("Traceparent"); len(parents) != 1 || !traceparent.MatchString(parents[0]) {
+		h.Set("Traceparent", "00-"+randomHex(16)+"-"+randomHex(8)+"-00")
+	}
+	if states := h.Values("Tracestate"); len(states) > 1 {
+		h.Set("Tracestate", strings.Join(states, ","))
+	}
+}
+
+func (s *Server) refuse(w http.ResponseWriter, q request, err error) {
+	var refused answer.Refusal
+	if !errors.As(err, &refused) {
+		refused = answer.MaybeRun(answer.Lost, err.Error())
+	}
+	if refused.Run == answer.RunNo {
+		q.pass.Refund()
+	}
+	q.result.Refusal, q.result.Head = &refused, s.now().Sub(q.begun)
+	s.Dialect.Write(w, refused, q.id)
+	s.ended(q)
+}
+
+// headSize returns the size of the request head on the wire, about.
+func headSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// rawPath returns the path as it was received.
+func rawPath(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		path, _, _ := strings.Cut(r.RequestURI, "?")
+		return path
+	}
+	return r.URL.EscapedPath()
+}
+
+func (s *Server) requestID(h http.Header) string {
+	id := h.Get(s.Dialect.ID)
+	if id == "" || len(id) > maxID || strings.ContainsFunc(id, isNotIDRune) {
+		return randomHex(8)
+	}
+	return id
+}
+
+func isNotIDRune(c rune) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9', c == '-', c == '_', c == '.':
+		return false
+	default:
+		return true
+	}
+}
+
+func randomHex(n int) string {
+	b := make([]byte, n)
+	_, _ = rand.Read(b) // never fails since Go 1.24
+	return hex.EncodeToString(b)
+}
+
+// deadlineOf returns the route's deadline, or the caller's if it is earlier.
+func (s *Server) deadlineOf(q request) time.Time {
+	limit := q.route.Deadline
+	if ms, err := strconv.ParseFloat(q.received.Get(s.Dialect.Deadline), 64); err == nil && ms < limit.Seconds()*1000 {
+		limit = time.Duration(ms * float64(time.Millisecond))
+	}
+	return q.begun.Add(limit)
+}
--- a/node/daemon/settings.go
+++ b/node/daemon/settings.go
@@ -12,6 +12,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
+
+	"verbenapin.dev/node/link"
 )
 
 // maxGrace bounds the shutdown, so that a wrong unit is not taken for a time.
@@ -263,9 +265,6 @@
 	return d
 }
 
-// bytesInMbit is the number of bytes in a megabit.
-const bytesInMbit = 125_000
-
 func (c *checker) speed(value string) float64 {
 	n, unit := strings.CutSuffix(value, "Mbit/s")
 	x, err := strconv.ParseFloat(n, 64)
@@ -273,7 +272,7 @@
 		c.fault("--link", fmt.Sprintf("%q is not a speed", value), "use a number from 0 to 1000000 with its unit, such as 100Mbit/s, or 0Mbit/s for no limit")
 		return 0
 	}
-	return x * bytesInMbit
+	return x * link.Megabit
 }
 
 func (c *checker) level(value string) logrus.Level {
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -22,6 +22,9 @@
 	piece = 16 << 10
 )
 
+// Megabit is the speed of 1 Mbit/s in bytes per second.
+const Megabit = 125_000
+
 // Link is the link of one instance; its methods may be called from any goroutine. Nil stands for one that is never full.
 type Link struct {
 	limiter *rate.Limiter
