peer: try a target again soon after its node left

Ruled out: the target itself (it did not drain), the store (the list was right). Change: the mark is checked again after 0.9 s by a single request; a node that still leaves refuses it at once. TestLeavingEnds failed before; the case "leaving long ago" now expects the stricter single exploring request.

--- a/node/peer/board.go
+++ b/node/peer/board.go
@@ -24,11 +24,13 @@
 	ownWeight  = 0.25
 	exploreOne = 8               // one in so many choices that meet an unknown target tries it
 	jitter     = 0.1             // scores vary by this share, so that senders with the same news choose differently
-	leavingFor = 5 * time.Second // a leaving mark is checked again then, in case a new process took the name
 	noticedFor = 2 * noticeEvery // a report is fresh while notices arrive, of which one may be lost
 	// Three notices in a row are lost only when something is wrong with the node or the way to it.
 	silentAfter = 3 * noticeEvery
-	silentCost  = 2 * time.Second // such a target comes after all others
+	// A leaving mark is checked again after this time, in case a new process took the name: nodes restart within half a
+	// second, and one that still leaves refuses a request at once.
+	leavingFor = silentAfter
+	silentCost = 2 * time.Second // such a target comes after all others
 	// failureCost is what a failure costs beside the time until it is known: the aim is missed, or the request lost.
 	failureCost = time.Second
 	// coldCost is what the slowness of a cold target costs a request, which its pace does not tell.
@@ -293,7 +295,7 @@
 		return true, true, Explore
 	case e.load.Leaving && now.Sub(e.left) < leavingFor:
 		return false, false, Leaving
-	case !e.known:
+	case !e.known, e.load.Leaving:
 		ok := e.outstanding == 0 && !now.Before(e.avoid)
 		return ok, ok, Unknown
 	case e.load.Down && e.live(now):
--- a/node/peer/board_test.go
+++ b/node/peer/board_test.go
@@ -66,7 +66,7 @@
 		"all leaving":                  {board: known(leaving, leaving, idle), candidates: all[:2], reason: Leaving},
 		"announced to leave":           {board: Board{}.WithLeaving(start, "a", true), candidates: all[:1], reason: Leaving},
 		"new process":                  {board: known(leaving, busy, busy).WithLeaving(start, "a", false), candidates: all[:1], want: []string{"a"}, reason: Explore},
-		"leaving long ago":             {board: known(leaving, busy, busy), candidates: all[:1], now: at(6000), want: []string{"a"}, reason: Least},
+		"leaving long ago":             {board: known(leaving, busy, busy), candidates: all[:1], now: at(6000), want: []string{"a"}, reason: Explore},
 		"fails fast":                   {board: known(failing, report(11, 12), busy), candidates: all[:2], want: []string{"b"}, reason: Least},
 		"failed fast long ago":         {board: known(failing, busy, busy).WithAnswer(at(20_000), "b", busy, 0), candidates: all[:2], now: at(20_000), want: []string{"a"}, reason: Least},
 		"cold and in use":              {board: known(cold, report(11, 12), busy), candidates: all[:2], want: []string{"b"}, reason: Least},
@@ -123,6 +123,32 @@
 	}
 }
 
+// TestLeavingEnds guards against a target that gets nothing for seconds after the node beside it has been started again, and
+// against more than one request that finds out. Nodes restart within half a second.
+func TestLeavingEnds(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	one := []Candidate{{Name: "a", Domain: "near"}}
+	leaving := report(1, 12)
+	leaving.Leaving = true
+	board := Board{}.WithSent(start, one[0]).WithDone(start, "a").WithAnswer(start, "a", leaving, 0)
+	got, ok := board.Choose(at(500), r, one, "near", nil, nil)
+	require.False(t, ok)
+	require.Equal(t, Leaving, got.Reason)
+	got, ok = board.Choose(at(1000), r, one, "near", nil, nil)
+	require.True(t, ok)
+	require.Equal(t, Explore, got.Reason)
+	board = board.WithSent(at(1000), one[0])
+	_, ok = board.Choose(at(1001), r, one, "near", nil, nil)
+	require.False(t, ok, "the exploring request is under way")
+	board = board.WithDone(at(1010), "a").WithRefusal(at(1010), "a", answer.NotRun(answer.Leaving, ""), leaving)
+	_, ok = board.Choose(at(1500), r, one, "near", nil, nil)
+	require.False(t, ok, "it still leaves")
+	board = board.WithSent(at(2000), one[0]).WithDone(at(2010), "a").WithAnswer(at(2010), "a", report(1, 12), 0)
+	got, ok = board.Choose(at(2011), r, one, "near", nil, nil)
+	require.True(t, ok)
+	require.Equal(t, Least, got.Reason)
+}
+
 // TestUnknown guards against an unknown target that gets more than a single request, or none while the others are used little.
 func TestUnknown(t *testing.T) {
 	all := []Candidate{{Name: "a", Domain: "near"}, {Name: "b", Domain: "near"}}
@@ -198,9 +224,9 @@
 				if slices.Contains(out, c.Domain) || slices.Contains(tried, c.Name) {
 					continue
 				}
-				left := f.leaving && now.Sub(f.leftOrReported) < 5*time.Second
+				left := f.leaving && now.Sub(f.leftOrReported) < leavingFor
 				switch {
-				case !left && (f.known || f.outstanding == 0 && !now.Before(f.retry)):
+				case !left && (f.known && !f.leaving || f.outstanding == 0 && !now.Before(f.retry)):
 					valid = append(valid, c.Name)
 				case !f.known && f.losses == 0 && f.outstanding > 0:
 					unheard = append(unheard, c.Name)
