--- a/node/daemon/settings.go
+++ b/node/daemon/settings.go
@@ -52,7 +52,7 @@
 	Ready   string `long:"ready" env:"VERBENAPIN_READY" value-name:"IP:PORT" description:"Listener that only answers whether the node is ready, for a platform that may not reach --admin"`
 	Grace   string `long:"grace" env:"VERBENAPIN_GRACE" value-name:"TIME" default:"30s" description:"Longest graceful shutdown, with unit, at least 3s and at most 1h"`
 	Log     string `long:"log" env:"VERBENAPIN_LOG" value-name:"LEVEL" default:"info" description:"Lowest level to log: debug, info, warn or error"`
-	Link    string `long:"link" env:"VERBENAPIN_LINK" value-name:"SPEED" default:"0Mbit/s" description:"Speed of the instance's network link, such as 100Mbit/s, of which large responses get 85%; 0Mbit/s sets no limit"`
+	Link    string `long:"link" env:"VERBENAPIN_LINK" value-name:"SPEED" default:"0Mbit/s" description:"Speed of the instance's network link, such as 100Mbit/s, of which large responses get four fifths; 0Mbit/s sets no limit"`
 	Slow    string `long:"slow" env:"VERBENAPIN_SLOW" value-name:"TIME" default:"250ms" description:"Requests whose response head takes longer are logged with their stages; 0s logs none"`
 	Trace   string `long:"trace" env:"VERBENAPIN_TRACE" value-name:"URL" description:"OTLP endpoint for spans (OTLP over HTTP), such as http://127.0.0.1:4318, to which /v1/traces is added if it has no path; without it no span is recorded"`
 	Sample  string `long:"sample" env:"VERBENAPIN_SAMPLE" value-name:"PERCENT" default:"1%" description:"Share of requests to trace when the caller has not decided, 0% to 100%"`
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -15,7 +15,7 @@
 const (
 	// largeShare is the part of the link that large responses get. Without a limit they fill the queue of a slow link, and
 	// everything else waits behind them: connects, tokens and news of other nodes took up to 1.2 s at 10 Mbit/s.
-	largeShare = 0.85
+	largeShare = 0.8
 	// largeFrom is the size from which a response is large; shorter ones are gone before a wait would help anybody.
 	largeFrom = 16 << 10
 	// piece is what passes in one turn, so that responses take turns; it holds a link of 10 Mbit/s for 13 ms.
