--- a/node/account/share.go
+++ b/node/account/share.go
@@ -57,7 +57,7 @@
 	return newPlacer(fleet).homes(a)
 }
 
-// HomesOf returns the homes of every account of a tree; it is computed outside the control goroutine.
+// HomesOf returns the homes of every account of a tree.
 func HomesOf(t config.Tree) map[string][]string {
 	p, accounts := newPlacer(t.Fleet()), t.Accounts()
 	homes := make(map[string][]string, len(accounts))
--- a/node/journal/journal.go
+++ b/node/journal/journal.go
@@ -67,44 +67,38 @@
 	return s.json.Format(e)
 }
 
-// Debug writes a line that is of use only while looking for a fault; it is not limited, because it is off by default.
-func (j *Journal) Debug(m Message, fields ...Field) {
-	if j.log.IsLevelEnabled(logrus.DebugLevel) {
-		j.write(logrus.DebugLevel, m, fields)
-	}
-}
-
 // Info writes a line about a change that operators expect.
-func (j *Journal) Info(m Message, fields ...Field) { j.limited(logrus.InfoLevel, most, m, fields) }
+func (j *Journal) Info(m Message, fields ...Field) {
+	j.limited(logrus.InfoLevel, most, mostLines, m, fields)
+}
 
 // Warn writes a line about a fault that the node handles.
-func (j *Journal) Warn(m Message, fields ...Field) { j.limited(logrus.WarnLevel, most, m, fields) }
+func (j *Journal) Warn(m Message, fields ...Field) {
+	j.limited(logrus.WarnLevel, most, mostLines, m, fields)
+}
 
 // Lasting writes a line about a fault that is found again until it is repaired, once in a period.
-func (j *Journal) Lasting(m Message, fields ...Field) { j.limited(logrus.WarnLevel, 1, m, fields) }
+func (j *Journal) Lasting(m Message, fields ...Field) {
+	j.limited(logrus.WarnLevel, 1, mostLines, m, fields)
+}
 
 // Error writes a line about a fault that needs an operator.
-func (j *Journal) Error(m Message, fields ...Field) { j.limited(logrus.ErrorLevel, most, m, fields) }
+func (j *Journal) Error(m Message, fields ...Field) {
+	j.limited(logrus.ErrorLevel, most, mostLines, m, fields)
+}
 
 // Decided writes a line about a decision on one request that its caller may ask about: a refusal, a failed attempt.
 func (j *Journal) Decided(m Message, fields ...Field) {
-	j.limited(logrus.InfoLevel, mostDecided, m, fields)
+	j.limited(logrus.InfoLevel, mostDecided, mostLines, m, fields)
 }
 
 // Answered writes a line about a request that went as expected; these are the first ones to be left out.
 func (j *Journal) Answered(m Message, fields ...Field) {
 	n := mostAnswered
-	if j.out.isCrowded() || j.isBusy() {
+	if j.out.isCrowded() {
 		n = 0
 	}
-	j.limited(logrus.InfoLevel, n, m, fields)
-}
-
-// isBusy tells whether half of the lines of the period are written.
-func (j *Journal) isBusy() bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.lines >= mostLines/2
+	j.limited(logrus.InfoLevel, n, mostLines/2, m, fields)
 }
 
 // SetLevel changes the lowest level that is written.
@@ -123,13 +117,14 @@
 	j.out.Close()
 }
 
-func (j *Journal) limited(level logrus.Level, n int, m Message, fields []Field) {
+// limited writes a line unless n lines of its kind, or the given number of all kinds, were written in the period.
+func (j *Journal) limited(level logrus.Level, n, all int, m Message, fields []Field) {
 	if !j.log.IsLevelEnabled(level) {
 		return
 	}
 	k := subject{level: level, message: m, code: codeOf(fields)}
 	j.mu.Lock()
-	if j.lines >= mostLines {
+	if j.lines >= all {
 		n = 0
 	}
 	l, write := j.limits[k].WithLine(n)
--- a/node/journal/journal_test.go
+++ b/node/journal/journal_test.go
@@ -101,7 +101,6 @@
 			j, _, lines := start(logrus.InfoLevel)
 			defer j.Close()
 			tc.write(j)
-			j.Debug("not written")
 			got := lines()
 			require.Len(t, got, 1)
 			tc.want["node"] = "a1"
@@ -111,6 +110,21 @@
 	}
 }
 
+// TestLevel guards against lines below the level that operators set, and against a level that a reload does not change.
+func TestLevel(t *testing.T) {
+	j, _, lines := start(logrus.WarnLevel)
+	defer j.Close()
+	j.Info("not written")
+	j.Decided("not written")
+	j.Answered("not written")
+	require.Empty(t, lines())
+	j.Warn("written")
+	require.Len(t, lines(), 1)
+	j.SetLevel(logrus.InfoLevel)
+	j.Answered("written")
+	require.Len(t, lines(), 1)
+}
+
 // TestFlood guards against a fault that fills the log, and against one that hides how often it happened or hides another.
 func TestFlood(t *testing.T) {
 	j, m, lines := start(logrus.InfoLevel)
