proof: keep the logs of a case that fails

Cause: TestInvariants/domain_out,_nodes_paused failed once and left nothing to trace, since the directory of its fleet was removed. Change: the directory of a case that fails stays, and the error names it.

--- a/measure/proof/proof_test.go
+++ b/measure/proof/proof_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -75,6 +76,12 @@
 			if tc.failed != (err != nil) || cleaned != 1 {
 				t.Fatalf("failed: %v, cleaned up %d times", err, cleaned)
 			}
+			var failed FailedError
+			if errors.As(err, &failed) {
+				if err := os.RemoveAll(failed.Logs); err != nil || failed.Logs == "" {
+					t.Fatalf("logs in %q: %v", failed.Logs, err)
+				}
+			}
 		})
 	}
 }
--- a/measure/proof/trial.go
+++ b/measure/proof/trial.go
@@ -21,18 +21,22 @@
 	cleanups []func()
 }
 
-// FailedError reports the checks that a case failed.
-type FailedError struct{ Failures []string }
+// FailedError reports the checks that a case failed, and the directory with the logs of its nodes.
+type FailedError struct {
+	Failures []string
+	Logs     string
+}
 
-func (e FailedError) Error() string { return fmt.Sprintf("proof: failed: %s", e.Failures) }
+func (e FailedError) Error() string {
+	return fmt.Sprintf("proof: failed: %s; the logs of the nodes are in %s", e.Failures, e.Logs)
+}
 
-// Run runs the case with the given node program; log gets what it observes.
+// Run runs the case with the given node program; log gets what it observes. The logs of a case that fails are kept.
 func (c Case) Run(ctx context.Context, binary string, log func(text string)) error {
 	dir, err := os.MkdirTemp("", "verbenapin-proof-")
 	if err != nil {
 		return fmt.Errorf("proof: creating a directory: %w", err)
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
 	t := &Trial{ctx: ctx, binary: binary, dir: dir, log: log}
 	ended := make(chan struct{})
 	go func() {
@@ -44,7 +48,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.failures) > 0 {
-		return FailedError{Failures: t.failures}
+		return FailedError{Failures: t.failures, Logs: dir}
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		return fmt.Errorf("proof: removing the logs of a case that passed: %w", err)
 	}
 	return nil
 }
