target: refuse at the gate what is meant for an earlier target

Cause: after a loss of power the list of targets names the earlier ones for up to 4 s. Change: the name that a target tells to a probe is compared at the gate, and the request goes on to another target without having reached one.

--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -215,6 +215,8 @@
 		return g, refuse(t.ID, answer.Late, 0, "the deadline has passed")
 	case g.down:
 		return g, refuse(t.ID, answer.Busy, downFor, "the target does not answer")
+	case g.state.IsOther(t.Target):
+		return g, refuse(t.ID, answer.Leaving, awayFor, replacedText)
 	}
 	g.limit = g.limit.WithIdle(now)
 	g = g.withOverdue(now)
@@ -448,6 +450,9 @@
 	return !g.queue.waiters[at].asked(now)
 }
 
+// replacedText is why a request that is meant for an earlier target at the address is refused.
+const replacedText = "another target has the address"
+
 // movedOn is why a request goes on.
 const movedOn = "another target may start the request sooner"
 
--- a/node/target/queue.go
+++ b/node/target/queue.go
@@ -14,6 +14,7 @@
 // Ticket stands for one request at the gate.
 type Ticket struct {
 	ID       uint64
+	Target   string // that the request is meant for, empty for any
 	Account  string
 	Route    string
 	Rank     Rank
--- a/node/target/server.go
+++ b/node/target/server.go
@@ -47,7 +47,8 @@
 	}
 	arrived := s.now()
 	finish, err := s.admit(c.Request.Context(), Ticket{
-		Account: c.Account, Route: c.Route, Rank: c.Rank, Spare: c.Spare, Aim: c.Aim, Goal: c.Goal, Deadline: c.Deadline,
+		Target: c.Target, Account: c.Account, Route: c.Route, Rank: c.Rank, Spare: c.Spare,
+		Aim: c.Aim, Goal: c.Goal, Deadline: c.Deadline,
 	})
 	begun := s.now()
 	stages := Stages{Queue: begun.Sub(arrived)}
@@ -134,7 +135,7 @@
 	var err error
 	switch {
 	case res.StatusCode == http.StatusMisdirectedRequest && d.Target != "":
-		err = answer.NotRun(answer.Leaving, "another target has the address").WithReached()
+		err = answer.NotRun(answer.Leaving, replacedText).WithReached()
 	case d.NotRun(res):
 		err = answer.NotRun(answer.Busy, "the target did not run the request").WithReached()
 	case d.Echo && res.Header.Get(d.ID) != c.Request.Header.Get(d.ID):
--- a/node/target/state.go
+++ b/node/target/state.go
@@ -40,6 +40,7 @@
 // State is what a target tells of itself; it never changes.
 type State struct {
 	identity Identity
+	present  string        // name that the target told when it was last asked, empty if it does not tell it
 	pace     float64       // time that work takes now as a multiple of the usual one, zero if it was not told
 	mean     float64       // long-term mean of the pace
 	base     float64       // pace of the target while nothing slows it down for the moment
@@ -86,7 +87,7 @@
 		s = s.withPhase(now)
 	}
 	if asked {
-		s.unsure, s.cold = false, time.Time{}
+		s.unsure, s.cold, s.present = false, time.Time{}, r.Instance
 		if r.Cold > 0 {
 			s.cold = now.Add(r.Cold)
 		}
@@ -131,6 +132,9 @@
 	return wait
 }
 
+// IsOther tells whether the target is known to be another one than the named one, which may be empty for any.
+func (s State) IsOther(name string) bool { return name != "" && s.present != "" && s.present != name }
+
 // IsCold tells whether the target is cold or may be.
 func (s State) IsCold(now time.Time) bool { return s.unsure || now.Before(s.cold) }
 
--- a/node/target/told_test.go
+++ b/node/target/told_test.go
@@ -68,6 +68,45 @@
 	}
 }
 
+// TestReplaced guards against requests that reach a target although it has replaced the one that they are meant for: it
+// refuses them, and each counts as a repeat. After a loss of power the list still names the earlier targets for seconds.
+func TestReplaced(t *testing.T) {
+	tells := func(name string) Gate {
+		return toldGate(1).WithReport(start, answer.Report{Told: true, Pace: 1, Instance: name}, true)
+	}
+	meant := func(name string) Ticket {
+		ticket := wanted(1, 600)
+		ticket.Target = name
+		return ticket
+	}
+	restarted := warm
+	restarted.Born = start
+	cases := map[string]struct {
+		gate   Gate
+		ticket Ticket
+		want   Action
+	}{
+		"the same":               {gate: tells("i"), ticket: meant("i"), want: Start},
+		"replaced":               {gate: tells("j"), ticket: meant("i"), want: Refuse},
+		"replaced, in the list":  {gate: tells("j"), ticket: meant("j"), want: Start},
+		"meant for any":          {gate: tells("j"), ticket: meant(""), want: Start},
+		"does not tell its name": {gate: tells(""), ticket: meant("i"), want: Start},
+		"not asked since":        {gate: tells("j").WithIdentity(restarted), ticket: meant("i"), want: Start},
+		"replaced again":         {gate: tells("j").WithReport(start, answer.Report{Told: true, Pace: 1, Instance: "i"}, true), ticket: meant("i"), want: Start},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, v := tc.gate.WithArrival(start, tc.ticket)
+			require.Equal(t, tc.want, v.Action, v.Refusal.Text)
+			if v.Action == Refuse {
+				require.Equal(t, answer.Leaving, v.Refusal.Code)
+				require.Equal(t, answer.RunNo, v.Refusal.Run)
+				require.False(t, v.Refusal.Reached)
+			}
+		})
+	}
+}
+
 // TestReportStarts guards against requests that go on waiting after the report that they waited for.
 func TestReportStarts(t *testing.T) {
 	cases := map[string]struct {
