peer: choose among a subset of a large service's targets

Cause: at 74 nodes and 43 targets each node sent requests to all targets, so that it had connections to all other nodes and each gate told all of them of each change: 160 to 460 datagrams a second in each direction, 540 goroutines and 45 MB at each node. Change: of more than ten usable targets a node chooses among ten by rendezvous hash, four of them of its own failure domain.

--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -134,6 +134,7 @@
 	var after time.Duration
 	found := false
 	err := d.loop.Call(context.WithoutCancel(ctx), func(now time.Time) {
+		candidates = d.board.Subset(now, candidates, d.self, out, tried)
 		choice, found = d.choose(d.board, now, d.rand, candidates, d.self.Domain, out, tried)
 		if !found {
 			return
