registry: list only the last of several targets at one address

Cause: after a loss of power the entries of the earlier targets stay in the registry until they lapse, for 4.5 s. Ruled out: the start of the target as the order (its clock may jump); entries of another service, which may come from another writer. Change: of several entries of one service at one address the one that changed last counts; a target that ended writes no more.

--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -121,7 +121,7 @@
 			}
 			continue
 		case fact.Target != nil:
-			targets, moved = targets.WithTarget(key, *fact.Target), true
+			targets, moved = targets.WithTarget(key, *fact.Target, change.Item.Revision), true
 			if len(changes) <= listedLines {
 				n.journal.Decided("target is listed", journal.Instance(fact.Target.Name), journal.Service(fact.Target.Service),
 					journal.Domain(fact.Target.Domain), journal.Target(string(fact.Target.State)), journal.Revision(change.Item.Revision))
--- a/node/registry/targets.go
+++ b/node/registry/targets.go
@@ -19,8 +19,9 @@
 
 // listed is one target of the registry.
 type listed struct {
-	target instance.Instance
-	until  time.Time // end of the grace of a lapsed entry, zero for one that stands in the registry
+	target   instance.Instance
+	revision int64     // of the last change of its entry
+	until    time.Time // end of the grace of a lapsed entry, zero for one that stands in the registry
 }
 
 // Targets are the targets that the registry lists, by the keys of their entries; they never change.
@@ -35,12 +36,12 @@
 }
 
 // WithTarget returns the targets after an entry was written.
-func (t Targets) WithTarget(key string, target instance.Instance) Targets {
+func (t Targets) WithTarget(key string, target instance.Instance, revision int64) Targets {
 	t.entries = maps.Clone(t.entries)
 	if t.entries == nil {
 		t.entries = map[string]listed{}
 	}
-	t.entries[key] = listed{target: target}
+	t.entries[key] = listed{target: target, revision: revision}
 	return t
 }
 
@@ -76,10 +77,21 @@
 	return t, false
 }
 
-// List returns the targets in the order of their names.
+// address is where a target of a service stands.
+type address struct{ node, service string }
+
+// List returns the targets in the order of their names. Of several targets of one service at one address only the one
+// whose entry changed last is there still: an earlier one that crashed stays in the registry until its entry lapses.
 func (t Targets) List() []instance.Instance {
-	list := make([]instance.Instance, 0, len(t.entries))
+	last := make(map[address]listed, len(t.entries))
 	for _, e := range t.entries {
+		at := address{node: e.target.Host(), service: e.target.Service}
+		if other, ok := last[at]; !ok || e.revision > other.revision {
+			last[at] = e
+		}
+	}
+	list := make([]instance.Instance, 0, len(last))
+	for _, e := range last {
 		list = append(list, e.target)
 	}
 	slices.SortFunc(list, func(a, b instance.Instance) int { return strings.Compare(a.Name, b.Name) })
