--- a/node/peer/subset.go
+++ b/node/peer/subset.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -55,12 +56,7 @@
 
 // first returns the first of the ranked candidates in their order, as many as fit.
 func first(list []ranked) []ranked {
-	slices.SortFunc(list, func(a, b ranked) int {
-		if a.sum < b.sum {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.sum, b.sum) })
 	return list[:min(len(list), subsetSize)]
 }
 
