registry: bound the broadcasts of a node and merge what waits

Cause: every change of the registry started a broadcast of its own, on a goroutine for each segment and node that did not answer, with its own copy of the changes. Each of 295 nodes that started together broadcast its first reads to all others, slow receivers made senders tell further nodes, and a control goroutine waited for a queue of 64 batches to be decoded, while the decoder waited for the queue of the control goroutine.

Ruled out: the store (its reads are within its rate) and requests (the growth began before traffic).

Change: Outbox decides what is sent: one message to a node at a time, at most 16 in all, the difference from what the node is known to hold; nodes that do not answer are passed over for 2 s. Decoding merges items that change again and never blocks the control goroutine. Only readers, and nodes that read in their place, broadcast. Entries that are only written again change no list.

--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -109,45 +109,53 @@
 
 // onRegistryChange applies changed entries of the registry; it runs on the control goroutine.
 func (n *Node) onRegistryChange(now time.Time, snapshot registry.Snapshot, changes []registry.Change) {
-	targets, changed := n.registryState.targets, false
+	evacuationChanged := false
+	var targetChanges []registry.TargetChange
 	for _, change := range changes {
-		key, decoded := change.Item.Key, change.Decoded
+		key, decoded, revision := change.Item.Key, change.Decoded, change.Item.Revision
 		switch {
 		case decoded.Tree != nil:
 			n.store.Adopt(now, config.KeyDigest(string(change.Item.Value)), *decoded.Tree)
 			continue
 		case decoded.EvacuatedDomain != "":
 			if n.registryState.setEvacuated(key, decoded.EvacuatedDomain) {
-				n.journal.Info("failure domain is taken out", journal.Domain(decoded.EvacuatedDomain), journal.Revision(change.Item.Revision))
-				changed = true
-			}
-			continue
-		case decoded.Target != nil:
-			targets, changed = targets.WithTarget(key, *decoded.Target, change.Item.Revision), true
-			if len(changes) <= maxTargetLines {
-				n.journal.InfoDecision("target is listed", journal.Instance(decoded.Target.Name), journal.Service(decoded.Target.Service),
-					journal.Domain(decoded.Target.Domain), journal.TargetState(string(decoded.Target.State)), journal.Revision(change.Item.Revision))
+				n.journal.Info("failure domain is taken out", journal.Domain(decoded.EvacuatedDomain), journal.Revision(revision))
+				evacuationChanged = true
 			}
 			continue
 		}
-		// The entry was removed or cannot be used.
 		if domain := n.registryState.evacuatedByKey[key]; domain != "" && n.registryState.setEvacuated(key, "") {
-			n.journal.Info("failure domain is brought back", journal.Domain(domain), journal.Revision(change.Item.Revision))
+			n.journal.Info("failure domain is brought back", journal.Domain(domain), journal.Revision(revision))
+			evacuationChanged = true
 		}
-		if inst, ok := targets.Target(key); ok {
-			n.journal.InfoDecision("target is no longer listed", journal.Instance(inst.Name), journal.Revision(change.Item.Revision))
-		}
-		targets, changed = targets.WithRemoval(now, key, snapshot.RecoveredAt()), true
-	}
-	if len(changes) > maxTargetLines {
-		n.journal.InfoDecision("many entries of the registry changed", journal.Count(len(changes)), journal.Revision(snapshot.Revision()))
+		// Without a target the entry was removed or cannot be used.
+		targetChanges = append(targetChanges, registry.TargetChange{Key: key, Revision: revision, Target: decoded.Target})
 	}
+	n.logTargets(targetChanges, snapshot.Revision())
+	targets, listChanged := n.registryState.targets.WithChanges(now, targetChanges, snapshot.RecoveredAt())
 	n.registryState.targets = targets
-	if changed {
+	if listChanged || evacuationChanged {
 		n.members.SetList(now, targets.List())
 	}
 }
 
+// logTargets logs the changes of targets before they are applied; entries that were only written again are left out.
+func (n *Node) logTargets(changes []registry.TargetChange, revision int64) {
+	if len(changes) > maxTargetLines {
+		n.journal.InfoDecision("many entries of the registry changed", journal.Count(len(changes)), journal.Revision(revision))
+	}
+	for _, c := range changes {
+		old, known := n.registryState.targets.Target(c.Key)
+		switch {
+		case c.Target == nil && known:
+			n.journal.InfoDecision("target is no longer listed", journal.Instance(old.Name), journal.Revision(c.Revision))
+		case c.Target != nil && *c.Target != old && len(changes) <= maxTargetLines:
+			n.journal.InfoDecision("target is listed", journal.Instance(c.Target.Name), journal.Service(c.Target.Service),
+				journal.Domain(c.Target.Domain), journal.TargetState(string(c.Target.State)), journal.Revision(c.Revision))
+		}
+	}
+}
+
 // onRegistryRecovery logs that the registry answers again.
 func (n *Node) onRegistryRecovery(calls int, outage time.Duration) {
 	n.journal.Info("registry answers again", journal.Count(calls), journal.Took(outage))
--- a/node/instance/instance.go
+++ b/node/instance/instance.go
@@ -25,10 +25,9 @@
 	// The fields below are set only if the platform reports them.
 
 	// Node is the name of the node beside the target, empty if it is the same as Name.
-	Node          string        `json:"-"`
-	Slots         int           `json:"-"` // concurrent requests that the target handles when warm, zero if unknown
-	ColdRemaining time.Duration `json:"-"` // remaining cold time of the target when the platform wrote the row
-	StartedAt     time.Time     `json:"-"` // start time of the target, zero if unknown
+	Node      string    `json:"-"`
+	Slots     int       `json:"-"` // concurrent requests that the target handles when warm, zero if unknown
+	StartedAt time.Time `json:"-"` // start time of the target, zero if unknown
 }
 
 // NodeName returns the name of the node beside the target.
--- a/node/registry/broadcast.go
+++ b/node/registry/broadcast.go
@@ -43,59 +43,56 @@
 	f.broadcast(now, snapshot.Revision(), Segments(f.cfg.Name, f.nodes, 0, true))
 }
 
-// broadcast sends the changes after a revision to each segment; it must be called on the control goroutine.
+// broadcast queues the changes after a revision for each segment; it must be called on the control goroutine.
 func (f *Feed) broadcast(now time.Time, after int64, segments []Segment) {
-	snapshot := f.Snapshot()
-	for _, s := range segments {
-		b := Broadcast{Update: snapshot.Since(now, after), Until: s.Until(), Last: len(s.Nodes) == 1}
-		f.running.Go(func() { f.sendToFirst(snapshot, b, s.Nodes) })
-	}
+	f.outbox = f.outbox.WithBroadcast(after, segments)
+	f.sendNext(now)
 }
 
-// sendToFirst sends a broadcast to the first of the nodes that answers within nextNodeDelay. Slower ones may still receive it.
-func (f *Feed) sendToFirst(snapshot Snapshot, b Broadcast, nodes []Node) {
-	timer := time.NewTimer(nextNodeDelay)
-	defer timer.Stop()
-	for _, node := range nodes {
-		result := make(chan error, 1)
-		f.running.Go(func() { result <- f.sendTo(snapshot, b, node) })
-		timer.Reset(nextNodeDelay)
-		var err error
-		select {
-		case err = <-result:
-			if err == nil {
-				return
-			}
-		case <-timer.C:
-			err = SlowError{Name: node.Name}
-		case <-f.ctx.Done():
+// sendNext sends the messages that the outbox wants sent now.
+func (f *Feed) sendNext(now time.Time) {
+	for {
+		outbox, m, ok := f.outbox.WithNext(now)
+		f.outbox = outbox
+		if !ok {
 			return
 		}
-		f.reportError("passing news on", err)
+		b := Broadcast{Update: f.Snapshot().Since(now, m.After), Until: m.Until, Last: m.Last}
+		f.running.Go(func() { f.send(m.Node, b) })
 	}
 }
 
-// SlowError reports a node that has not answered a broadcast in time.
-type SlowError struct{ Name string }
-
-func (e SlowError) Error() string {
-	return fmt.Sprintf("registry: %s did not answer within %s", e.Name, nextNodeDelay)
-}
-
-// sendTo sends a broadcast to one node, and sends again with the missing changes if the node turns out to be behind.
-func (f *Feed) sendTo(snapshot Snapshot, b Broadcast, node Node) error {
+// send sends a broadcast to one node and passes the outcome to the outbox.
+func (f *Feed) send(node Node, b Broadcast) {
 	ctx, cancel := context.WithTimeout(f.ctx, sendTimeout)
 	defer cancel()
 	revision, err := f.cfg.SendBroadcast(ctx, node.ControlAddr, b)
 	if err != nil {
-		return fmt.Errorf("registry: sending an update to %s: %w", node.Name, err)
-	}
-	if revision >= b.Update.After {
-		return nil
+		f.reportError("passing news on", fmt.Errorf("registry: sending an update to %s: %w", node.Name, err))
 	}
-	b.Update = snapshot.Since(f.cfg.Clock.Now(), revision)
-	if _, err := f.cfg.SendBroadcast(ctx, node.ControlAddr, b); err != nil {
-		return fmt.Errorf("registry: sending %s the changes that it lacks: %w", node.Name, err)
+	f.post(func(now time.Time) {
+		if err != nil {
+			f.outbox = f.outbox.WithFailure(now, node.Name)
+		} else {
+			f.outbox = f.outbox.WithAnswer(node.Name, revision)
+		}
+		f.sendNext(now)
+	})
+}
+
+// passOverSlow hands the broadcasts of nodes that do not answer on to the next nodes.
+func (f *Feed) passOverSlow(now time.Time) {
+	outbox, slow := f.outbox.WithSlow(now)
+	f.outbox = outbox
+	for _, name := range slow {
+		f.reportError("passing news on", SlowError{Name: name})
 	}
-	return nil
+	f.sendNext(now)
+}
+
+// SlowError reports a node that has not answered a broadcast in time.
+type SlowError struct{ Name string }
+
+func (e SlowError) Error() string {
+	return fmt.Sprintf("registry: %s did not answer within %s", e.Name, slowAfter)
 }
--- a/node/registry/feed.go
+++ b/node/registry/feed.go
@@ -31,16 +31,11 @@
 	// aliveInterval is how often a reader whose calls fail sends a broadcast without changes, so that other nodes leave the
 	// calls to it.
 	aliveInterval = 500 * time.Millisecond
-	// nextNodeDelay is how long a node may take to answer before the next one gets the broadcast as well: a node that is paused or
-	// unreachable must not delay the nodes after it for long.
-	nextNodeDelay = 300 * time.Millisecond
 	// sendTimeout bounds the sending of a broadcast to one node. On a 10 Mbit/s link that carries large responses, a broadcast is
 	// delayed by half a second.
 	sendTimeout = 1500 * time.Millisecond
 	// confirmInterval is the minimum age of the last broadcast confirmation at which an answer without changes is broadcast.
 	confirmInterval = 500 * time.Millisecond
-	// decodeQueue bounds the batches of changed items that wait to be decoded.
-	decodeQueue = 64
 )
 
 // Change is a changed item with its decoded form, which is empty if the item was deleted or cannot be decoded.
@@ -87,12 +82,14 @@
 	cancel  context.CancelFunc
 	running loop.Group
 	tick    *clock.Subscription
-	batches chan batch
+	decoder *decoder
 
 	// Owned by the control goroutine.
 	nodes         []Node // the other nodes, in the order of the ring after this one
-	readerRank    int    // position of this node in ReaderOrder
+	outbox        Outbox
+	readerRank    int // position of this node in ReaderOrder
 	calling       bool
+	spreads       bool      // the result of the current call is broadcast
 	firstRead     time.Time // when the first call succeeded
 	failures      int       // failed calls in a row
 	failingSince  time.Time // when the first of them failed
@@ -103,16 +100,11 @@
 	lastAlive     time.Time // last broadcast without changes that was sent because a call failed
 }
 
-// batch is a snapshot with the items that changed in it.
-type batch struct {
-	copy  Snapshot
-	items []Item
-}
-
 // New returns a feed that does nothing before Start.
 func New(s Settings) *Feed {
-	f := &Feed{cfg: s, batches: make(chan batch, decodeQueue)}
+	f := &Feed{cfg: s}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.decoder = newDecoder(s.Decode, f.publish, func(err error) { f.reportError("reading an item", err) })
 	f.copy.Store(&Snapshot{})
 	return f
 }
@@ -123,12 +115,13 @@
 // SetNodes sets the other nodes, without those known to have ended; it must be called on the control goroutine.
 func (f *Feed) SetNodes(nodes []Node) {
 	f.nodes = Ring(f.cfg.Name, nodes)
+	f.outbox = f.outbox.WithNodes(f.nodes)
 	f.readerRank = ReaderRank(Node{Name: f.cfg.Name, Domain: f.cfg.Domain}, nodes)
 }
 
 // Start starts reading the registry.
 func (f *Feed) Start() {
-	f.running.Go(f.decode)
+	f.running.Go(func() { f.decoder.run(f.ctx) })
 	tick := func(time.Time) { f.post(f.onTick) }
 	tick(time.Time{})
 	f.tick = f.cfg.Clock.Subscribe(tickInterval, tick)
@@ -153,44 +146,13 @@
 	if len(changed) == 0 {
 		return false, nil
 	}
-	select {
-	case f.batches <- batch{copy: next, items: changed}:
-	case <-f.ctx.Done():
-	}
+	f.decoder.add(next, changed)
 	return true, nil
 }
 
-// decode decodes items in the order of their arrival and posts them to the control goroutine.
-func (f *Feed) decode() {
-	for {
-		var b batch
-		select {
-		case <-f.ctx.Done():
-			return
-		case b = <-f.batches:
-		}
-		changes := make([]Change, 0, len(b.items))
-		for _, i := range b.items {
-			c, err := f.change(i)
-			if err != nil {
-				f.reportError("reading an item", err)
-			}
-			changes = append(changes, c)
-		}
-		f.post(func(now time.Time) { f.cfg.OnChange(now, b.copy, changes) })
-	}
-}
-
-func (f *Feed) change(i Item) (Change, error) {
-	if i.Deleted {
-		return Change{Item: i}, nil
-	}
-	i, err := i.WithValue()
-	if err != nil {
-		return Change{Item: i}, err
-	}
-	decoded, err := f.cfg.Decode(i)
-	return Change{Item: i, Decoded: decoded}, err
+// publish passes decoded changes to the node.
+func (f *Feed) publish(snapshot Snapshot, changes []Change) {
+	f.post(func(now time.Time) { f.cfg.OnChange(now, snapshot, changes) })
 }
 
 // ReaderState returns the state of this node; it must be called on the control goroutine.
@@ -207,6 +169,7 @@
 }
 
 func (f *Feed) onTick(now time.Time) {
+	f.passOverSlow(now)
 	if f.calling || now.Before(f.nextCall) {
 		return
 	}
@@ -214,7 +177,7 @@
 	if !state.MayRead() {
 		return
 	}
-	f.calling = true
+	f.calling, f.spreads = true, state.Spreads()
 	switch {
 	case f.Snapshot().Revision() == 0:
 		f.read(f.cfg.AllowStaleRead && f.failures == 0)
@@ -302,7 +265,9 @@
 		}
 		if changed || (update.Age >= 0 && at.Sub(f.lastConfirmed) >= confirmInterval) {
 			f.lastConfirmed = at
-			f.broadcast(now, update.After, Segments(f.cfg.Name, f.nodes, 0, true))
+			if f.spreads {
+				f.broadcast(now, update.After, Segments(f.cfg.Name, f.nodes, 0, true))
+			}
 		}
 	})
 }
--- /dev/null
+++ b/node/registry/feed_bounds_test.go
@@ -0,0 +1,88 @@
+package registry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/clock"
+	"verbenapin.dev/node/loop"
+)
+
+// startFeed starts a feed on its own control goroutine and stops both with the test.
+func startFeed(t *testing.T, s Settings, nodes []Node) *Feed {
+	l := loop.New(s.Clock.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = l.Serve(ctx) })
+	s.Loop = l
+	f := New(s)
+	require.NoError(t, l.Call(ctx, func(time.Time) { f.SetNodes(nodes) }))
+	f.Start()
+	t.Cleanup(func() {
+		f.Close()
+		l.Close()
+		cancel()
+		serving.Wait()
+	})
+	return f
+}
+
+// TestSendsAreBounded guards against a sender whose messages pile up while other nodes do not answer: at 295 nodes that start together
+// a process had 876 of them in flight and used 433 MB.
+func TestSendsAreBounded(t *testing.T) {
+	manual := clock.NewManual(start)
+	registry := &fakeRegistry{unavailable: map[string]bool{}}
+	registry.put(put("first", 1))
+	var inFlight, most atomic.Int64
+	nodes := testNodes(300, 3)
+	reader := ReaderOrder(nodes)[0]
+	startFeed(t, Settings{
+		Name: reader.Name, Domain: reader.Domain, Clock: manual.Clock(), Source: registry.source(reader.Name),
+		SendBroadcast: func(ctx context.Context, _ string, _ Broadcast) (int64, error) {
+			n := inFlight.Add(1)
+			defer inFlight.Add(-1)
+			for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
+			}
+			<-ctx.Done()
+			return 0, ctx.Err()
+		},
+		Decode:   func(Item) (DecodedItem, error) { return DecodedItem{}, nil },
+		OnChange: func(time.Time, Snapshot, []Change) {},
+	}, nodes)
+	for i := range 100 {
+		registry.put(put("key", int64(i)))
+		manual.Advance(tickInterval)
+		time.Sleep(5 * time.Millisecond) // for the goroutines of a tick
+	}
+	require.Positive(t, most.Load())
+	require.LessOrEqual(t, most.Load(), int64(maxSends))
+}
+
+// TestSlowDecoding guards against a control goroutine that waits until a burst of changes has been decoded: nothing else of the node
+// runs meanwhile, and the decoder in turn waits for the control goroutine once the queue of events is full.
+func TestSlowDecoding(t *testing.T) {
+	manual := clock.NewManual(start)
+	registry := &fakeRegistry{unavailable: map[string]bool{"self": true}}
+	release := make(chan struct{})
+	defer close(release)
+	f := startFeed(t, Settings{
+		Name: "self", Domain: "d0", Clock: manual.Clock(), Source: registry.source("self"),
+		Decode: func(Item) (DecodedItem, error) {
+			<-release
+			return DecodedItem{}, nil
+		},
+		OnChange: func(time.Time, Snapshot, []Change) {},
+	}, nil)
+	for i := range int64(200) {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		held, err := f.Receive(ctx, Broadcast{Update: Update{After: i, Revision: i + 1, Items: []Item{{Key: "key", Revision: i + 1}}}, Last: true})
+		cancel()
+		require.NoError(t, err)
+		require.Equal(t, i+1, held)
+	}
+}
--- a/node/registry/targets.go
+++ b/node/registry/targets.go
@@ -28,6 +28,14 @@
 // Targets holds the targets that the registry lists, by the keys of their entries; it is immutable.
 type Targets struct {
 	entries map[string]entry
+	list    []instance.Instance
+}
+
+// TargetChange is a change of one target's entry.
+type TargetChange struct {
+	Key      string
+	Revision int64
+	Target   *instance.Instance // nil if the entry was removed or cannot be used
 }
 
 // Target returns the target of an entry.
@@ -36,33 +44,45 @@
 	return e.target, ok
 }
 
-// WithTarget returns the targets after an entry was written.
-func (t Targets) WithTarget(key string, target instance.Instance, revision int64) Targets {
-	t.entries = maps.Clone(t.entries)
-	if t.entries == nil {
-		t.entries = map[string]entry{}
+// WithChanges returns the targets after changes of their entries, and whether the list of targets changed. recoveredAt is the end of
+// the last outage of the registry.
+func (t Targets) WithChanges(now time.Time, changes []TargetChange, recoveredAt time.Time) (Targets, bool) {
+	entries := maps.Clone(t.entries)
+	if entries == nil {
+		entries = make(map[string]entry, len(changes))
 	}
-	t.entries[key] = entry{target: target, revision: revision}
-	return t
+	for _, c := range changes {
+		old, ok := entries[c.Key]
+		switch {
+		case c.Target != nil:
+			entries[c.Key] = entry{target: *c.Target, revision: c.Revision}
+		case !ok:
+		default:
+			if old.graceEnd = graceEnd(now, old.target, recoveredAt); old.graceEnd.IsZero() {
+				delete(entries, c.Key)
+			} else {
+				entries[c.Key] = old
+			}
+		}
+	}
+	return t.withEntries(entries)
 }
 
-// WithRemoval returns the targets after an entry was removed. Just after an outage, which ended at recoveredAt, the entry may have
-// expired only because the target could not renew it, so the target is kept until expiryGrace has passed. A target that was leaving
-// is removed at once.
-func (t Targets) WithRemoval(now time.Time, key string, recoveredAt time.Time) Targets {
-	e, ok := t.entries[key]
-	if !ok {
-		return t
+// graceEnd returns until when a target whose entry was removed stays in use, zero if it does not. Just after an outage, which ended at
+// recoveredAt, the entry may have expired only because the target could not renew it. A target that was leaving is removed at once.
+func graceEnd(now time.Time, target instance.Instance, recoveredAt time.Time) time.Time {
+	end := recoveredAt.Add(expiryGrace)
+	if recoveredAt.IsZero() || now.Sub(recoveredAt) >= outageWindow || target.State == instance.StateLeaving || !now.Before(end) {
+		return time.Time{}
 	}
-	t.entries = maps.Clone(t.entries)
-	graceEnd := recoveredAt.Add(expiryGrace)
-	if recoveredAt.IsZero() || now.Sub(recoveredAt) >= outageWindow || e.target.State == instance.StateLeaving || !now.Before(graceEnd) {
-		delete(t.entries, key)
-		return t
-	}
-	e.graceEnd = graceEnd
-	t.entries[key] = e
-	return t
+	return end
+}
+
+// withEntries returns the targets with other entries, and whether the list changed.
+func (t Targets) withEntries(entries map[string]entry) (Targets, bool) {
+	list := listOf(entries)
+	changed := !slices.Equal(list, t.list)
+	return Targets{entries: entries, list: list}, changed
 }
 
 // WithoutExpired returns the targets without those whose grace has ended, and whether there were any of these.
@@ -70,9 +90,10 @@
 	expired := func(_ string, e entry) bool { return !e.graceEnd.IsZero() && !now.Before(e.graceEnd) }
 	for key, e := range t.entries {
 		if expired(key, e) {
-			t.entries = maps.Clone(t.entries)
-			maps.DeleteFunc(t.entries, expired)
-			return t, true
+			entries := maps.Clone(t.entries)
+			maps.DeleteFunc(entries, expired)
+			next, _ := t.withEntries(entries)
+			return next, true
 		}
 	}
 	return t, false
@@ -81,11 +102,14 @@
 // address identifies the place of a target: its node and its service.
 type address struct{ node, service string }
 
-// List returns the targets in the order of their names. If several targets of one service have the same address, only the one whose
-// entry changed last is returned: the entry of an earlier one that crashed stays in the registry until it expires.
-func (t Targets) List() []instance.Instance {
-	newest := make(map[address]entry, len(t.entries))
-	for _, e := range t.entries {
+// List returns the targets in the order of their names; the caller must not change it. If several targets of one service have the same
+// address, only the one whose entry changed last is listed: the entry of an earlier one that crashed stays in the registry until it
+// expires.
+func (t Targets) List() []instance.Instance { return t.list }
+
+func listOf(entries map[string]entry) []instance.Instance {
+	newest := make(map[address]entry, len(entries))
+	for _, e := range entries {
 		addr := address{node: e.target.NodeName(), service: e.target.Service}
 		if other, ok := newest[addr]; !ok || e.revision > other.revision {
 			newest[addr] = e
--- a/node/registry/targets_test.go
+++ b/node/registry/targets_test.go
@@ -9,6 +9,40 @@
 	"verbenapin.dev/node/instance"
 )
 
+func withTarget(t Targets, key string, target instance.Instance, revision int64) Targets {
+	t, _ = t.WithChanges(start, []TargetChange{{Key: key, Revision: revision, Target: &target}}, time.Time{})
+	return t
+}
+
+func withRemoval(t Targets, now time.Time, key string, recoveredAt time.Time) Targets {
+	t, _ = t.WithChanges(now, []TargetChange{{Key: key}}, recoveredAt)
+	return t
+}
+
+// TestUnchangedEntry guards against work for each heartbeat of each target: an entry that was only written again changes nothing that
+// is decided, and at 295 targets that start together hundreds are written every second.
+func TestUnchangedEntry(t *testing.T) {
+	target := instance.Instance{Name: "i", State: instance.StateLive, Slots: 6}
+	leaving := target
+	leaving.State = instance.StateLeaving
+	cases := map[string]struct {
+		change TargetChange
+		want   bool
+	}{
+		"written again":    {change: TargetChange{Key: "k", Revision: 2, Target: &target}},
+		"another state":    {change: TargetChange{Key: "k", Revision: 2, Target: &leaving}, want: true},
+		"removed":          {change: TargetChange{Key: "k", Revision: 2}, want: true},
+		"another target":   {change: TargetChange{Key: "l", Revision: 2, Target: &instance.Instance{Name: "j", Node: "n"}}, want: true},
+		"unknown, removed": {change: TargetChange{Key: "l", Revision: 2}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, changed := withTarget(Targets{}, "k", target, 1).WithChanges(start, []TargetChange{tc.change}, time.Time{})
+			require.Equal(t, tc.want, changed)
+		})
+	}
+}
+
 // TestRemovalAfterOutage guards against dropping targets that could not renew their entries during an outage, and against keeping
 // targets that are gone.
 func TestRemovalAfterOutage(t *testing.T) {
@@ -30,7 +64,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			targets := Targets{}.WithTarget("k", tc.target, 1).WithRemoval(at(tc.removed), "k", tc.recoveredAt)
+			targets := withRemoval(withTarget(Targets{}, "k", tc.target, 1), at(tc.removed), "k", tc.recoveredAt)
 			targets, _ = targets.WithoutExpired(at(tc.after))
 			require.Equal(t, tc.want, len(targets.List()) == 1)
 		})
@@ -40,7 +74,7 @@
 // TestEntryReturns guards against dropping a target at the end of its grace although its entry is back.
 func TestEntryReturns(t *testing.T) {
 	live := instance.Instance{Name: "i", State: instance.StateLive}
-	targets := Targets{}.WithTarget("k", live, 1).WithRemoval(at(1000), "k", at(1000)).WithTarget("k", live, 1)
+	targets := withTarget(withRemoval(withTarget(Targets{}, "k", live, 1), at(1000), "k", at(1000)), "k", live, 1)
 	targets, changed := targets.WithoutExpired(at(60_000))
 	require.False(t, changed)
 	require.Len(t, targets.List(), 1)
@@ -71,7 +105,7 @@
 		t.Run(name, func(t *testing.T) {
 			var targets Targets
 			for _, w := range tc.writes {
-				targets = targets.WithTarget(w.target.Name, w.target, w.revision)
+				targets = withTarget(targets, w.target.Name, w.target, w.revision)
 			}
 			var got []string
 			for _, i := range targets.List() {
