measure: close listeners on a busy machine, count forwarded bytes before they are seen

Cause of TestInvariants/fifty_at_once: Server.Close asked its loop for the listeners with a timeout of 200 ms and ignored the error; on a busy machine they stayed open and the next start of the target found the address in use. Cause of TestRelay: the relay counted bytes after it had written them, so that the caller could read the answer before the count had it.

--- a/measure/fleet/relay.go
+++ b/measure/fleet/relay.go
@@ -47,7 +47,7 @@
 // Addr returns the address that the relay listens on.
 func (r *Relay) Addr() string { return r.addr }
 
-// Bytes returns the number of bytes forwarded in both directions.
+// Bytes returns the number of bytes forwarded in both directions, including those of a write that failed.
 func (r *Relay) Bytes() int64 { return r.bytes.Load() }
 
 // Up starts listening, unless the relay already listens.
@@ -175,10 +175,10 @@
 			if !r.sleep(time.Until(k.due)) || !r.waitUnblocked() {
 				break
 			}
+			r.bytes.Add(int64(len(k.data))) // before the receiver can see the bytes and ask for the count
 			if _, err := to.Write(k.data); err != nil {
 				break
 			}
-			r.bytes.Add(int64(len(k.data)))
 		}
 		_ = from.SetReadDeadline(time.Now())
 		for range queue { // Discards what can no longer be delivered, so that the reader doesn't block.
--- a/measure/upstream/server.go
+++ b/measure/upstream/server.go
@@ -130,10 +130,11 @@
 // Close closes the listeners, aborts running requests and waits for all goroutines.
 func (s *Server) Close() {
 	s.closeOnce.Do(func() { close(s.closing) })
+	var servers []*http.Server
+	// Without a timeout: on a busy machine the loop may take long to answer, and the listeners must not stay open.
+	_ = s.loop.Call(context.Background(), func(time.Time) { servers = s.servers })
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	var servers []*http.Server
-	_ = s.loop.Call(ctx, func(time.Time) { servers = s.servers })
 	for _, h := range servers {
 		if h.Shutdown(ctx) != nil {
 			_ = h.Close()
--- a/measure/upstream/upstream_test.go
+++ b/measure/upstream/upstream_test.go
@@ -155,3 +155,18 @@
 	require.NoError(t, conns[0].Close())
 	require.Eventually(t, func() bool { return s.Stats().Conns == 1 }, 10*time.Second, time.Millisecond)
 }
+
+// TestCloseBusy guards against a listener that stays open when the machine is so busy that the loop takes longer than closeTimeout to
+// answer: the next start of the target then failed with "address already in use".
+func TestCloseBusy(t *testing.T) {
+	s := New(Settings{Name: "a1", Slots: 1})
+	addr, err := s.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	busy := make(chan struct{})
+	go func() { _ = s.loop.Post(t.Context(), func(time.Time) { close(busy); time.Sleep(2 * closeTimeout) }) }()
+	<-busy
+	s.Close()
+	l, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	_ = l.Close()
+}
