--- a/node/registry/feed_bounds_test.go
+++ b/node/registry/feed_bounds_test.go
@@ -39,7 +39,7 @@
 	registry := &fakeRegistry{unavailable: map[string]bool{}}
 	registry.put(put("first", 1))
 	var inFlight, most atomic.Int64
-	nodes := testNodes(300, 3)
+	nodes := testNodes(300, 5)
 	reader := ReaderOrder(nodes)[0]
 	startFeed(t, Settings{
 		Name: reader.Name, Domain: reader.Domain, Clock: manual.Clock(), Source: registry.source(reader.Name),
--- a/node/registry/outbox.go
+++ b/node/registry/outbox.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -63,9 +62,6 @@
 	avoided map[string]time.Time // nodes that do not forward broadcasts until this time, by node name
 }
 
-// InFlight returns the number of messages that have not been answered.
-func (o Outbox) InFlight() int { return len(o.flights) }
-
 // WithBroadcast adds a broadcast of the changes after a revision to each of the segments.
 func (o Outbox) WithBroadcast(after int64, segments []Segment) Outbox {
 	for _, s := range segments {
@@ -249,13 +245,3 @@
 	o.pending = kept.pending
 	return o
 }
-
-// PendingNames returns the first nodes of the broadcasts that wait to be sent, in the order of their names.
-func (o Outbox) PendingNames() []string {
-	names := make([]string, 0, len(o.pending))
-	for _, d := range o.pending {
-		names = append(names, d.first().Name)
-	}
-	slices.SortFunc(names, strings.Compare)
-	return names
-}
