--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -42,14 +42,10 @@
 	Window  time.Duration
 }
 
-// retryBurst is how many retries a node can save up. It is above 1 because failures come in groups, and small because all
-// nodes may use their savings at the same moment.
-const retryBurst = 2
-
-// retryAllowance returns this node's part of the fleet's retry budget; half of it is left for nodes that are not listed yet.
+// retryAllowance returns this node's part of the fleet's retry budget.
 func (n *Node) retryAllowance() peer.RetryAllowance {
-	r, nodes := n.platform.RetryBudget, n.members.Snapshot().NodeCount()
-	return peer.RetryAllowance{Rate: r.Retries / 2 / r.Window.Seconds() / float64(max(nodes, 1)), Burst: retryBurst}
+	r := n.platform.RetryBudget
+	return peer.NewRetryAllowance(r.Retries, r.Window, n.members.Snapshot().NodeCount())
 }
 
 // registryState holds the targets and evacuated failure domains of the registry; the control goroutine changes it.
--- a/node/peer/budget.go
+++ b/node/peer/budget.go
@@ -24,6 +24,20 @@
 	Burst float64 // retries that can be accumulated
 }
 
+const (
+	// refillShare is the part of a fleet's allowance that all nodes refill in a window. The rest is left for the bursts, which all
+	// nodes use at once when they meet the same fault, and for nodes that are not listed yet.
+	refillShare   = 0.5
+	maxRetryBurst = 2 // failures come in groups
+	minRetryBurst = 1 // below it a node could never retry
+)
+
+// NewRetryAllowance returns one node's part of the retries that a fleet of the given size may send in each window beyond the ratio.
+func NewRetryAllowance(retries float64, window time.Duration, nodes int) RetryAllowance {
+	part := retries / float64(max(nodes, 1))
+	return RetryAllowance{Rate: refillShare * part / window.Seconds(), Burst: max(minRetryBurst, min(part, maxRetryBurst))}
+}
+
 // NewBudget returns the budget for retries: a ratio of the calls, and a small rate so that a route with few calls can retry.
 func NewBudget(now time.Time, ratio float64) Budget {
 	return Budget{ratio: ratio, rate: budgetRate, burst: budgetBurst, tokens: 1, last: now}
--- a/node/peer/budget_test.go
+++ b/node/peer/budget_test.go
@@ -155,6 +155,61 @@
 	}
 }
 
+// TestFleetRetries guards against nodes that together send more retries in a window than the fleet may, when all of them meet a fault
+// at the same moment with full bursts, and against leaving a large part unused while targets shed most of their requests.
+func TestFleetRetries(t *testing.T) {
+	const allowed, own, window = 0.2, 0.15, 10
+	cases := map[string]struct {
+		nodes    int
+		slack    float64
+		requests int // a second, in the whole fleet
+	}{
+		"15 nodes":                {nodes: 15, slack: 64, requests: 70},
+		"66 nodes":                {nodes: 66, slack: 172, requests: 400},
+		"295 nodes":               {nodes: 295, slack: 630, requests: 900},
+		"295 nodes, few requests": {nodes: 295, slack: 630, requests: 300},
+		"1,213 nodes":             {nodes: 1213, slack: 2600, requests: 4000},
+		"less slack than nodes":   {nodes: 295, slack: 150, requests: 4000},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(1, 2))
+			allowance := NewRetryAllowance(tc.slack, window*time.Second, tc.nodes)
+			budgets := make([]Budget, tc.nodes)
+			for i := range budgets {
+				budgets[i] = NewBudget(start, own).WithAllowance(allowance)
+			}
+			var retries []float64 // by second
+			for second := range 40 {
+				retries = append(retries, 0)
+				for n := range tc.requests {
+					now := start.Add(time.Duration(second)*time.Second + time.Duration(n)*time.Second/time.Duration(tc.requests))
+					i := r.IntN(tc.nodes)
+					budgets[i] = budgets[i].WithCall(now, 0)
+					if second < 20 {
+						continue
+					}
+					var ok bool
+					if budgets[i], ok = budgets[i].WithRetry(now); ok {
+						retries[second]++
+					}
+				}
+			}
+			limit := allowed*float64(tc.requests*window) + tc.slack
+			for from := range len(retries) - window {
+				sum := 0.0
+				for _, n := range retries[from : from+window] {
+					sum += n
+				}
+				require.LessOrEqual(t, sum, limit)
+				if from == 20 {
+					require.GreaterOrEqual(t, sum, 0.6*limit)
+				}
+			}
+		})
+	}
+}
+
 // TestHedge guards against a p95 that is wrong by more than a bucket, and against hedges beyond their budget.
 func TestHedge(t *testing.T) {
 	r := rand.New(rand.NewPCG(5, 6))
