kv: read each item of a page by itself

Cause: a page was decoded as a whole, so one item whose value was no base64 or whose revision was out of range failed the read or the watch, again and again, and nodes stopped following the store.

--- a/node/registry/feed.go
+++ b/node/registry/feed.go
@@ -260,6 +260,9 @@
 			f.cfg.OnRecovery(f.failures, now.Sub(f.failingSince))
 		}
 		f.failures = 0
+		for _, fault := range update.Faults {
+			f.reportError("reading an item", fault)
+		}
 		f.needFullRead = f.needFullRead && update.After > 0
 		if f.firstRead.IsZero() || !f.targetsListed {
 			f.firstRead = now
--- a/node/registry/item.go
+++ b/node/registry/item.go
@@ -84,6 +84,8 @@
 	After    int64 // zero for a full update, which has all items
 	Revision int64
 	Items    []Item
+	// Faults are the errors of items that are left out because their keys cannot be read.
+	Faults []error
 	// Age is the time since the registry was known to be at Revision, or Unconfirmed.
 	Age time.Duration
 }
