Check the ranges of numbers from outside, and survive an odd message

The conversion of such a number differs between processors, and a load report with a limit of 4,000,000,000 attracts all requests. A panic in a handler of a control message ended the process, since gRPC does not recover from it, and a lasting error of the socket for load reports made its goroutine spin. Change: each number has a range at the edge where it is decoded; interceptors turn a panic into an error of the call and a log line; a failed read of the socket is followed by a pause.

--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -77,6 +77,8 @@
 		grpc.ReadBufferSize(controlBufferBytes),
 		grpc.WriteBufferSize(controlBufferBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * controlIdleTimeout}),
+		grpc.UnaryInterceptor(recoverCall(n.onControlPanic)),
+		grpc.StreamInterceptor(recoverStream(n.onControlPanic)),
 	)
 	pb.RegisterInstancesServer(s, &rpc.Server{OwnHeartbeat: n.members.OwnHeartbeat, Receive: n.members.Receive, Now: n.clock.Now})
 	configpb.RegisterConfigsServer(s, &configrpc.Server{Receive: n.store.ReceiveOffer, Value: n.store.Blob})
--- a/node/peer/load_exchange.go
+++ b/node/peer/load_exchange.go
@@ -22,6 +22,10 @@
 	// reportQueueSize bounds the load reports waiting to be sent; further ones are dropped, since newer ones follow.
 	reportQueueSize = 64
 	percent         = 100
+	// receivePause is the time between a failed read of the socket and the next one: the error may last.
+	receivePause = 50 * time.Millisecond
+	// maxReportedCount bounds the numbers of requests in a load report; a larger limit would attract all requests of the fleet.
+	maxReportedCount = 1_000_000
 )
 
 // LoadReport is the load of a target that its gate sends to other nodes without a request.
@@ -59,6 +63,9 @@
 	if m.GetTarget() == "" || m.GetLimit() == 0 {
 		return LoadReport{}, LoadReportError{Reason: "no target or no limit"}
 	}
+	if max(m.GetRunning(), m.GetQueued(), m.GetLimit(), m.GetPace(), m.GetMean()) > maxReportedCount || m.GetFailing() > percent {
+		return LoadReport{}, LoadReportError{Reason: "a number is out of range"}
+	}
 	return LoadReport{Target: m.GetTarget(), BootID: m.GetBoot(), Number: m.GetNumber(), Load: target.Load{
 		Running: int(m.GetRunning()), Queued: int(m.GetQueued()), Limit: int(m.GetLimit()),
 		ServiceTime: time.Duration(m.GetService()) * time.Microsecond, Slowdown: float64(m.GetPace()) / percent,
@@ -78,6 +85,7 @@
 type LoadExchange struct {
 	socket   *net.UDPConn
 	loop     *loop.Loop
+	clock    *clock.Clock
 	bootID   uint32
 	current  func() (name string, l target.Load)
 	onReport func(now time.Time, r LoadReport)
@@ -99,7 +107,7 @@
 	current func() (string, target.Load), onReport func(now time.Time, r LoadReport), onError func(error),
 ) *LoadExchange {
 	x := &LoadExchange{
-		socket: socket, loop: l, bootID: bootID, current: current, onReport: onReport, onError: onError,
+		socket: socket, loop: l, clock: c, bootID: bootID, current: current, onReport: onReport, onError: onError,
 		queue: make(chan outgoing, reportQueueSize), closed: make(chan struct{}),
 	}
 	x.running.Go(x.receive)
@@ -169,8 +177,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue // the error of a datagram that could not be delivered is returned by the next read
+		if err != nil { // also that of a datagram that could not be delivered
+			x.onError(fmt.Errorf("peer: receiving a load report: %w", err))
+			if !x.pause(receivePause) {
+				return
+			}
+			continue
 		}
 		report, err := decodeLoadReport(buf[:size])
 		if err != nil {
@@ -181,6 +193,19 @@
 	}
 }
 
+// pause waits and returns false if the exchange was closed meanwhile.
+func (x *LoadExchange) pause(wait time.Duration) bool {
+	over := make(chan struct{})
+	timer := x.clock.AfterFunc(wait, func(time.Time) { close(over) })
+	defer timer.Close()
+	select {
+	case <-over:
+		return true
+	case <-x.closed:
+		return false
+	}
+}
+
 // Close closes the socket and waits for the goroutines of the exchange.
 func (x *LoadExchange) Close() {
 	x.tick.Close()
--- a/node/peer/load_exchange_test.go
+++ b/node/peer/load_exchange_test.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"verbenapin.dev/node/clock"
 	"verbenapin.dev/node/loop"
+	"verbenapin.dev/node/peer/pb"
 	"verbenapin.dev/node/target"
 )
 
@@ -214,3 +216,50 @@
 	cancel()
 	serving.Wait()
 }
+
+// TestLoadReportRange guards against a malformed load report that attracts all requests of its sender's fleet.
+func TestLoadReportRange(t *testing.T) {
+	cases := map[string]struct {
+		change func(m *pb.Notice)
+		bad    bool
+	}{
+		"usual":              {change: func(*pb.Notice) {}},
+		"no target":          {change: func(m *pb.Notice) { m.Target = "" }, bad: true},
+		"no limit":           {change: func(m *pb.Notice) { m.Limit = 0 }, bad: true},
+		"limit out of range": {change: func(m *pb.Notice) { m.Limit = 4_000_000_000 }, bad: true},
+		"queue out of range": {change: func(m *pb.Notice) { m.Queued = 4_000_000_000 }, bad: true},
+		"fails too often":    {change: func(m *pb.Notice) { m.Failing = 101 }, bad: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := &pb.Notice{Target: "i", Limit: 8, Running: 3, Pace: 100, Mean: 120, Failing: 5}
+			tc.change(m)
+			data, err := proto.Marshal(m)
+			require.NoError(t, err)
+			_, err = decodeLoadReport(data)
+			require.Equal(t, tc.bad, err != nil)
+		})
+	}
+}
+
+// TestReceiveError guards against a goroutine that spins while reads of the socket fail.
+func TestReceiveError(t *testing.T) {
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	require.NoError(t, socket.SetReadDeadline(time.Unix(1, 0))) // each read fails at once
+	l := loop.New(time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = l.Serve(ctx) })
+	manual := clock.NewManual(start)
+	failed := make(chan error, 1000)
+	x := NewLoadExchange(socket, l, manual.Clock(), 1, func() (string, target.Load) { return "", target.Load{} },
+		func(time.Time, LoadReport) {}, func(err error) { failed <- err })
+	require.Error(t, <-failed)
+	time.Sleep(20 * time.Millisecond) // a goroutine that spins fails thousands of times meanwhile
+	require.Empty(t, failed)
+	x.Close()
+	l.Close()
+	cancel()
+	serving.Wait()
+}
