measure: don't take a passed deadline for a request that a stop cut off

Cause of TestInvariants/shutdown on a busy machine (five failures at loads of 14 to 29): targets are so slow that deadlines pass while requests run. The trace in KNOWN-RED.txt shows such requests at c1, which is not stopped, started with an expected wait of 3.4 to 4.2 s and ended by their deadline. The users' rules don't count them either. An answer that says 'late, maybe' is accepted only if the request lasted at least as long as its own route's deadline (2 s, exports 30 s); all other checks are unchanged.

--- a/measure/deployment/deployment.go
+++ b/measure/deployment/deployment.go
@@ -2,6 +2,7 @@
 package deployment
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -25,6 +26,9 @@
 	ServiceTime time.Duration // mean service time
 }
 
+// DefaultDeadline is the deadline of routes without their own.
+const DefaultDeadline = 2 * time.Second
+
 // Route is a route of the configuration.
 type Route struct {
 	Name       string
@@ -131,6 +135,17 @@
 // Routes returns all routes.
 func (d Deployment) Routes() []Route { return d.routes }
 
+// DeadlineOf returns the deadline of the route with the longest path that begins the given one.
+func (d Deployment) DeadlineOf(path string) time.Duration {
+	longest, deadline := "", DefaultDeadline
+	for _, r := range d.routes {
+		if strings.HasPrefix(path, r.Path) && len(r.Path) > len(longest) {
+			longest, deadline = r.Path, cmp.Or(r.Deadline, DefaultDeadline)
+		}
+	}
+	return deadline
+}
+
 // Account returns the account with the given name.
 func (d Deployment) Account(name string) Account { return d.accounts[name] }
 
@@ -229,7 +244,7 @@
 func (d Deployment) YAML() []byte {
 	var b strings.Builder
 	fmt.Fprintf(&b, "fleet:\n  homes: [%s]\n  retired: []\n  out: [%s]\n", strings.Join(d.homes, ", "), strings.Join(d.evacuated, ", "))
-	b.WriteString("routes:\n  base: {deadline: 2s, retries: 10%, hedge: 0%, probe: 0.5%, slots: 12}\n")
+	fmt.Fprintf(&b, "routes:\n  base: {deadline: %s, retries: 10%%, hedge: 0%%, probe: 0.5%%, slots: 12}\n", DefaultDeadline)
 	for _, r := range d.routes {
 		fmt.Fprintf(&b, "  %s: {parent: base, host: %s, path: %s, service: %s, slots: %d", r.Name, d.Host, r.Path, r.Service, r.Slots)
 		if r.Idempotent {
--- a/measure/deployment/deployment_test.go
+++ b/measure/deployment/deployment_test.go
@@ -79,3 +79,18 @@
 		})
 	}
 }
+
+// TestDeadlineOf guards against a proof that takes a request for cut off, or late, by the deadline of another route.
+func TestDeadlineOf(t *testing.T) {
+	cases := map[string]struct {
+		path string
+		want time.Duration
+	}{
+		"own deadline":     {path: "/exports?cost=700", want: 30 * time.Second},
+		"default deadline": {path: "/checkins?cost=60", want: DefaultDeadline},
+		"unknown path":     {path: "/x", want: DefaultDeadline},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, Abitudini().DeadlineOf(tc.path)) })
+	}
+}
--- a/measure/proof/process.go
+++ b/measure/proof/process.go
@@ -161,7 +161,10 @@
 	s.checkHistory(all, noErrorAllowed)
 	atEntry, atGate := 0, 0
 	for _, resp := range all.Responses() {
-		require.NotEqual(t, "maybe", resp.Execution, "cut off: %s", describe(resp))
+		// On a busy machine targets are so slow that deadlines pass while requests run, which no stop of a node causes: the log of the
+		// entry node shows such requests at a target that is not stopped, with an expected wait of 3.4 to 4.2 s.
+		reachedDeadline := resp.Code == "late" && resp.Ended.Sub(resp.Started) >= d.DeadlineOf(resp.Request.Path)
+		require.True(t, resp.Execution != "maybe" || reachedDeadline, "cut off: %s", describe(resp))
 		if !resp.OK() || resp.Started.After(terminatedAt) || resp.Ended.Before(terminatedAt.Add(2*time.Second)) {
 			continue
 		}
