peer: drop the state of targets that are no longer listed

TargetTable.WithListed had no caller, so that a node kept an entry for each start of each target that it had ever sent to. It now runs every 10 s. TestDropUnlisted: the entry of an earlier start is dropped once its last response has been read.

--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -33,6 +33,9 @@
 	metricsInterval = time.Second
 	// expiryInterval bounds how long after its grace period a target whose registry entry expired is removed.
 	expiryInterval = 250 * time.Millisecond
+	// unlistedInterval bounds how long the state of a target that is no longer listed is kept. It is long, so that a target whose
+	// entry is away for a few seconds keeps its state.
+	unlistedInterval = 10 * time.Second
 	// certReloadInterval bounds the time until a replaced certificate is used.
 	certReloadInterval = 5 * time.Second
 )
@@ -224,6 +227,18 @@
 	return m
 }
 
+// dropUnlisted drops the state of targets that are no longer listed; it runs on the control goroutine.
+func (n *Node) dropUnlisted(time.Time) {
+	view := n.members.Snapshot()
+	if !view.HasList() {
+		return
+	}
+	n.dispatcher.DropUnlisted(func(name string) bool {
+		_, ok := view.Instance(name)
+		return ok
+	})
+}
+
 func (n *Node) startBackground() {
 	n.store.Start()
 	n.members.Start()
@@ -234,5 +249,6 @@
 	if n.identity != nil {
 		n.subscriptions = append(n.subscriptions, n.clock.Subscribe(certReloadInterval, func(time.Time) { n.reloadIdentity() }))
 	}
+	n.subscriptions = append(n.subscriptions, n.clock.Subscribe(unlistedInterval, func(time.Time) { _ = n.loop.Post(context.Background(), n.dropUnlisted) }))
 	n.subscriptions = append(n.subscriptions, n.clock.Subscribe(metricsInterval, func(time.Time) { n.updateGauges() }))
 }
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -197,6 +197,12 @@
 	d.table = d.table.WithLoadReport(now, r)
 }
 
+// DropUnlisted drops the state of targets that are no longer listed: each start of a target may have another name, so that the table
+// would grow with each release. It must be called on the control goroutine.
+func (d *Dispatcher) DropUnlisted(listed func(name string) bool) {
+	d.table = d.table.WithListed(listed)
+}
+
 // recordSent counts an attempt as outstanding and returns the target's node; it runs on the control goroutine.
 func (d *Dispatcher) recordSent(now time.Time, candidates []Candidate, choice Choice) string {
 	node := choice.Instance
--- a/node/peer/dispatch_test.go
+++ b/node/peer/dispatch_test.go
@@ -39,3 +39,41 @@
 	require.NoError(t, l.Call(ctx, func(time.Time) { rtt = d.table.RTT("a", "a") }))
 	require.Equal(t, initialOwnRTT, rtt)
 }
+
+// TestDropUnlisted guards against a table that grows with each release of a service, and against dropping a target whose response is
+// still read.
+func TestDropUnlisted(t *testing.T) {
+	l := loop.New(time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Serve(ctx) }()
+	defer func() { cancel(); <-ended }()
+	current := "v1"
+	d := NewDispatcher(Self{Name: "a1", Domain: "a"}, l, rand.New(rand.NewPCG(1, 1)), TargetTable.Choose,
+		func(string) []Candidate { return []Candidate{{Name: current, Domain: "a"}} }, func() []string { return nil }, nil,
+		func(string, target.Call) (target.Reply, error) {
+			return target.Reply{Response: &http.Response{Body: io.NopCloser(strings.NewReader(""))}, HasLoad: true, Load: target.Load{Limit: 1}}, nil
+		})
+	send := func() target.Reply {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "/", nil)
+		require.NoError(t, err)
+		_, reply, err := d.Send(target.Call{Request: r, Deadline: time.Now().Add(time.Minute)}, config.Route{Service: "app"}, nil, nil)
+		require.NoError(t, err)
+		return reply
+	}
+	known := func(name string) (known bool) {
+		require.NoError(t, l.Call(ctx, func(time.Time) {
+			d.DropUnlisted(func(name string) bool { return name == current })
+			known = d.table.find(name) != nil
+		}))
+		return known
+	}
+	first := send()
+	current = "v2"
+	second := send()
+	require.True(t, known("v1"), "its response is still read")
+	require.NoError(t, first.Response.Body.Close())
+	require.NoError(t, second.Response.Body.Close())
+	require.False(t, known("v1"))
+	require.True(t, known("v2"))
+}
--- a/node/peer/target_table.go
+++ b/node/peer/target_table.go
@@ -232,10 +232,10 @@
 	return t.with(e)
 }
 
-// WithListed returns the table without targets that are not in names and have no outstanding request.
-func (t TargetTable) WithListed(names map[string]bool) TargetTable {
+// WithListed returns the table without targets that are not listed and have no outstanding request.
+func (t TargetTable) WithListed(listed func(name string) bool) TargetTable {
 	for i, list := range t.entries {
-		t.entries[i] = slices.DeleteFunc(slices.Clone(list), func(e *entry) bool { return !names[e.name] && e.outstanding == 0 })
+		t.entries[i] = slices.DeleteFunc(slices.Clone(list), func(e *entry) bool { return !listed(e.name) && e.outstanding == 0 })
 	}
 	return t
 }
--- a/node/peer/target_table_test.go
+++ b/node/peer/target_table_test.go
@@ -262,7 +262,7 @@
 	_ = table.WithLost(at(1), "a")
 	_ = table.WithSent(at(1), Candidate{Name: "a", Domain: "near"})
 	_ = table.WithResponse(at(1), "a", loadOf(9, 12), ms(9))
-	rest := table.WithListed(map[string]bool{"b": true})
+	rest := table.WithListed(func(name string) bool { return name == "b" })
 	require.Equal(t, before, *table.find("a"))
 	require.Equal(t, rtts, table.rtts)
 	require.Nil(t, rest.find("a"))
