target: let calls of running requests wait, use more of a cold target's rate

Ruled out: the start of the nodes (they answer 0.5 s after the power is back) and their first tokens (18 refusals for the rate).

A call that has no account waits at a self-reporting target as long as it can still be answered.

--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -28,14 +28,24 @@
 	Dialect   answer.Dialect
 	ReadyPath string // path on which the platform asks whether the node is ready
 	Bootstrap bool   // the whole fleet starts for the first time
-	// ColdRateFactor multiplies the configured request rate of cold targets.
+	// ColdRateFactor multiplies the configured request rate of cold targets, and ColdSlack is added to the result, in requests per
+	// second.
 	ColdRateFactor float64
+	ColdSlack      float64
 	// RetryBudget bounds the retries of a service by the whole fleet beyond the retry ratios of its routes.
 	RetryBudget RetryBudget
 	// Overage is the fraction by which accounts may exceed their rates and bursts.
 	Overage float64
 }
 
+// coldRate returns how many requests per second the gate starts at a cold target with the configured rate, zero for no bound.
+func (p Platform) coldRate(configured float64) float64 {
+	if configured <= 0 {
+		return 0
+	}
+	return configured*p.ColdRateFactor + p.ColdSlack
+}
+
 // RetryBudget bounds the retries of a service that all nodes together send in any Window.
 type RetryBudget struct {
 	Retries float64
@@ -194,7 +204,7 @@
 	inst, ok := n.ownTarget()
 	if ok {
 		n.admission.SetRegistration(now, target.Registration{
-			Name: inst.Name, StartedAt: inst.StartedAt, Slots: inst.Slots, ColdRate: tree.Service(inst.Service).ColdRate * n.platform.ColdRateFactor,
+			Name: inst.Name, StartedAt: inst.StartedAt, Slots: inst.Slots, ColdRate: n.platform.coldRate(tree.Service(inst.Service).ColdRate),
 		})
 	}
 	n.admission.SetLeavingOnLoop(now, n.isLeaving() || (ok && inst.State == instance.StateLeaving))
--- a/node/daemon/registry_test.go
+++ b/node/daemon/registry_test.go
@@ -40,3 +40,21 @@
 		})
 	}
 }
+
+// TestColdRate guards against a cold target that gets more than the platform allows, and against a bound on targets without one.
+func TestColdRate(t *testing.T) {
+	cases := map[string]struct {
+		platform   Platform
+		configured float64
+		want       float64
+	}{
+		"no bound":             {platform: Platform{ColdRateFactor: 1.45, ColdSlack: 5}},
+		"as configured":        {platform: Platform{ColdRateFactor: 1}, configured: 8, want: 8},
+		"overage":              {platform: Platform{ColdRateFactor: 1.5}, configured: 8, want: 12},
+		"overage and slack":    {platform: Platform{ColdRateFactor: 1.5, ColdSlack: 5}, configured: 8, want: 17},
+		"less than one second": {platform: Platform{ColdRateFactor: 1.5}, configured: 0.5, want: 0.75},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, tc.platform.coldRate(tc.configured)) })
+	}
+}
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -177,7 +177,7 @@
 	var due time.Time
 	for i := range g.queue.waiters {
 		w := &g.queue.waiters[i]
-		at := earlierOf(w.expiry(), w.request.Deadline)
+		at := earlierOf(g.expiry(*w), w.request.Deadline)
 		if !g.state.IsFresh(now) && !w.waitedForReport(now) {
 			at = earlierOf(at, w.arrived.Add(maxReportWait))
 		}
@@ -195,8 +195,11 @@
 func (w waiter) waitedForReport(now time.Time) bool { return now.Sub(w.arrived) >= maxReportWait }
 
 // expiry returns when the request stops waiting: at its soft deadline, a short time after its arrival if that is later, or
-// after maxQueueTime if it has no soft deadline.
-func (w waiter) expiry() time.Time {
+// after maxQueueTime if it has no soft deadline. A nested request at a self-reporting target waits until its deadline.
+func (g Gate) expiry(w waiter) time.Time {
+	if g.IsSelfReporting() && w.request.Nested() {
+		return w.request.Deadline
+	}
 	if w.request.SoftDeadline.IsZero() {
 		return w.arrived.Add(maxQueueTime)
 	}
@@ -296,8 +299,12 @@
 
 // maxExpectedWait returns the longest expected wait with which a new request is queued. A request that will miss its soft
 // deadline is queued for a short time only: others start before it, and an early refusal leaves its sender more time.
+// A nested request waits as long as it can still be answered: refusing it wastes the run that made it. This matters most when all
+// targets are cold after a loss of power, because each run takes up a start that the cold rate allows.
 func (g Gate) maxExpectedWait(now time.Time, req AdmissionRequest, wait time.Duration) time.Duration {
 	switch {
+	case g.IsSelfReporting() && req.Nested():
+		return req.Deadline.Sub(now) - g.baseServiceTime(req)
 	case req.SoftDeadline.IsZero():
 		return maxQueueTime
 	case req.Late(now.Add(wait), g.baseServiceTime):
@@ -440,7 +447,7 @@
 		switch {
 		case !w.request.Deadline.IsZero() && !now.Before(w.request.Deadline):
 			decisions = append(decisions, refuse(w.request.ID, answer.CodeLate, 0, "the deadline passed in the queue"))
-		case !now.Before(w.expiry()):
+		case !now.Before(g.expiry(w)):
 			decisions = append(decisions, refuse(w.request.ID, answer.CodeBusy, g.expectedWait(now, w.request), "the request waited too long in the queue"))
 		default:
 			i++
--- a/node/target/queue.go
+++ b/node/target/queue.go
@@ -25,6 +25,9 @@
 	Retried          bool // an earlier attempt reached a target of the service
 }
 
+// Nested reports whether a running request at another target made the request: such calls have no account.
+func (r AdmissionRequest) Nested() bool { return r.Account == "" && !r.Deadline.IsZero() }
+
 // OverMaxWait reports whether an expected wait is too long, so that the request goes on to another target.
 func (r AdmissionRequest) OverMaxWait(w time.Duration) bool { return r.MaxWait >= 0 && w > r.MaxWait }
 
--- a/node/target/selfreport_test.go
+++ b/node/target/selfreport_test.go
@@ -39,23 +39,30 @@
 	fast, slow := selfReportingGate(1), selfReportingGate(4)
 	busy := fillGate(fast)
 	withMaxWait := func(req AdmissionRequest, d time.Duration) AdmissionRequest { req.MaxWait = d; return req }
+	nested := func(req AdmissionRequest, deadline int) AdmissionRequest {
+		req.Account, req.Deadline = "", start.Add(ms(deadline))
+		return req
+	}
 	cases := map[string]struct {
 		gate    Gate
 		request AdmissionRequest
 		at      int
 		want    Action
 	}{
-		"fast":                             {gate: fast, request: newRequest(1, 600), want: ActionStart},
-		"report is old":                    {gate: fast, request: newRequest(1, 600), at: 30, want: ActionWait},
-		"no soft deadline, report is old":  {gate: fast, request: AdmissionRequest{ID: 1, MaxWait: -1}, at: 30, want: ActionStart},
-		"slow":                             {gate: slow, request: newRequest(1, 600), want: ActionWait},
-		"slow, may not wait":               {gate: slow, request: withMaxWait(newRequest(1, 600), 0), want: ActionRefuse},
-		"slow, may wait":                   {gate: slow, request: withMaxWait(newRequest(1, 600), ms(150)), want: ActionWait},
-		"full":                             {gate: busy, request: newRequest(1, 600), want: ActionWait},
-		"full, may not wait":               {gate: busy, request: withMaxWait(newRequest(1, 600), 0), want: ActionRefuse},
-		"full, soft deadline can't be met": {gate: fillGate(selfReportingGate(1)), request: newRequest(1, 10), want: ActionRefuse},
-		"target does not answer":           {gate: fast.WithUnreachable(start), request: newRequest(1, 600), want: ActionRefuse},
-		"target answers again":             {gate: fast.WithUnreachable(start).WithReport(start, answer.TargetReport{HasLoad: true, Slowdown: 1}, true), request: newRequest(1, 600), want: ActionStart},
+		"fast":                               {gate: fast, request: newRequest(1, 600), want: ActionStart},
+		"report is old":                      {gate: fast, request: newRequest(1, 600), at: 30, want: ActionWait},
+		"no soft deadline, report is old":    {gate: fast, request: AdmissionRequest{ID: 1, MaxWait: -1}, at: 30, want: ActionStart},
+		"slow":                               {gate: slow, request: newRequest(1, 600), want: ActionWait},
+		"slow, may not wait":                 {gate: slow, request: withMaxWait(newRequest(1, 600), 0), want: ActionRefuse},
+		"slow, may wait":                     {gate: slow, request: withMaxWait(newRequest(1, 600), ms(150)), want: ActionWait},
+		"full":                               {gate: busy, request: newRequest(1, 600), want: ActionWait},
+		"full, may not wait":                 {gate: busy, request: withMaxWait(newRequest(1, 600), 0), want: ActionRefuse},
+		"full, soft deadline can't be met":   {gate: fillGate(selfReportingGate(1)), request: newRequest(1, 10), want: ActionRefuse},
+		"nested, soft deadline can't be met": {gate: fillGate(selfReportingGate(1)), request: nested(newRequest(1, 10), 600), want: ActionWait},
+		"nested, deadline can't be met":      {gate: fillGate(selfReportingGate(1)), request: nested(newRequest(1, 10), 10), want: ActionRefuse},
+		"nested, may not wait":               {gate: busy, request: nested(withMaxWait(newRequest(1, 600), 0), 1200), want: ActionRefuse},
+		"target does not answer":             {gate: fast.WithUnreachable(start), request: newRequest(1, 600), want: ActionRefuse},
+		"target answers again":               {gate: fast.WithUnreachable(start).WithReport(start, answer.TargetReport{HasLoad: true, Slowdown: 1}, true), request: newRequest(1, 600), want: ActionStart},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -222,3 +229,67 @@
 		}
 	})
 }
+
+// TestColdOverload replays the seconds after a loss of power of all machines: each target is cold and gets twice the requests that its
+// rate allows, half of them calls of running requests. It guards against refusing calls that can still be answered, since each of them
+// wastes a run elsewhere, and against a cold target that gets more than its rate.
+func TestColdOverload(t *testing.T) {
+	const rate, seconds = 16.0, 3
+	type end struct {
+		id uint64
+		at time.Time
+	}
+	g := NewGate(1).WithRegistration(Registration{Name: "i", Slots: 10, ColdRate: rate})
+	g = g.WithReport(start, answer.TargetReport{HasLoad: true, Slowdown: 1, Instance: "i", ColdRemaining: seconds * time.Second}, true)
+	var starts []time.Time
+	var running []end
+	refused, calls := 0, 0
+	record := func(now time.Time, decisions ...Decision) {
+		for _, d := range decisions {
+			switch {
+			case d.Action == ActionStart:
+				starts, running = append(starts, now), append(running, end{id: d.ID, at: now.Add(ms(130))})
+			case d.Action == ActionRefuse && d.ID%2 == 0:
+				refused++
+			}
+		}
+	}
+	id := uint64(0)
+	for step := range seconds * 1000 {
+		now := start.Add(ms(step))
+		g = g.WithReport(now, answer.TargetReport{HasLoad: true, Slowdown: 1}, false)
+		for len(running) > 0 && !now.Before(running[0].at) {
+			var decisions []Decision
+			g, decisions = g.WithDone(now, running[0].id, Outcome{Latency: ms(130)})
+			running = running[1:]
+			record(now, decisions...)
+		}
+		var decisions []Decision
+		g, decisions = g.WithTick(now)
+		record(now, decisions...)
+		if step%31 != 0 { // 32 requests a second
+			continue
+		}
+		id++
+		req := AdmissionRequest{ID: id, Account: "a", Route: "new", MaxWait: -1, SoftDeadline: now.Add(ms(600)), LatencyObjective: ms(600), Deadline: now.Add(ms(2500))}
+		if id%2 == 0 {
+			calls++
+			req = AdmissionRequest{ID: id, Route: "call", MaxWait: -1, SoftDeadline: now.Add(ms(150)), LatencyObjective: ms(150), Deadline: now.Add(ms(600)), Priority: Priority{Account: -1}}
+		}
+		var d Decision
+		g, d = g.WithArrival(now, req)
+		record(now, d)
+	}
+	for i, from := range starts {
+		inSecond := 0
+		for _, at := range starts[i:] {
+			if at.Sub(from) < time.Second {
+				inSecond++
+			}
+		}
+		require.LessOrEqual(t, inSecond, int(rate))
+	}
+	t.Logf("%d starts, %d of %d calls refused", len(starts), refused, calls)
+	require.GreaterOrEqual(t, float64(len(starts)), 0.9*rate*seconds)
+	require.LessOrEqual(t, refused, calls/10)
+}
