--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -8,13 +8,8 @@
 )
 
 const (
-	queueFactor       = 2                     // maximum queue length as a multiple of the limit
-	maxQueueTime      = 50 * time.Millisecond // maximum wait of a request without a soft deadline
-	leavingRetryAfter = time.Second           // retry delay for a target that is leaving, evacuated or replaced
-	// A request on a route without responses is expected to run for this fraction of its latency objective.
-	unseenRouteDivisor = 3
-	// A request that will miss its soft deadline waits for up to this fraction of its latency objective.
-	lateWaitDivisor       = 8
+	queueFactor           = 2               // maximum queue length as a multiple of the limit
+	leavingRetryAfter     = time.Second     // retry delay for a target that is leaving, evacuated or replaced
 	unreachableRetryAfter = probePauseStale // retry delay for a target that does not answer
 	retriedWeight         = 32              // runs over which the share of retried requests is averaged
 )
@@ -156,19 +151,6 @@
 // retries in the same proportion.
 func (g Gate) RetriedShare() float64 { return g.retriedShare }
 
-// expectedWaitNow returns the expected wait of a request that arrives now, has the usual service time and states no soft
-// deadline. It is zero unless the target is self-reporting.
-func (g Gate) expectedWaitNow(now time.Time) time.Duration {
-	if !g.IsSelfReporting() {
-		return 0
-	}
-	wait := g.state.SlowWait(now, g.limit.ServiceTime())
-	if g.queue.Len() > 0 || len(g.running) >= g.limit.Value() || !g.state.NextStart(now).IsZero() {
-		wait = max(wait, g.expectedWait(now, AdmissionRequest{}))
-	}
-	return wait
-}
-
 // NextTick returns the time by which WithTick must run, or false if no request is waiting or displaced.
 func (g Gate) NextTick(now time.Time) (time.Time, bool) {
 	if len(g.displaced) > 0 {
@@ -191,21 +173,6 @@
 	return due, !due.IsZero()
 }
 
-// waitedForReport reports whether the request has waited long enough for a fresh report.
-func (w waiter) waitedForReport(now time.Time) bool { return now.Sub(w.arrived) >= maxReportWait }
-
-// expiry returns when the request stops waiting: at its soft deadline, a short time after its arrival if that is later, or
-// after maxQueueTime if it has no soft deadline. A nested request at a self-reporting target waits until its deadline.
-func (g Gate) expiry(w waiter) time.Time {
-	if g.IsSelfReporting() && w.request.Nested() {
-		return w.request.Deadline
-	}
-	if w.request.SoftDeadline.IsZero() {
-		return w.arrived.Add(maxQueueTime)
-	}
-	return laterOf(w.request.SoftDeadline, w.arrived.Add(w.request.LatencyObjective/lateWaitDivisor))
-}
-
 // earlierOf returns the earlier of two times; a zero b is ignored.
 func earlierOf(a, b time.Time) time.Time {
 	if !b.IsZero() && b.Before(a) {
@@ -283,67 +250,6 @@
 	return len(g.queue.waiters) > 0 && len(g.running) < g.limit.Value() && !g.state.IsFresh(now)
 }
 
-// slowWait returns how long the request should wait for a slow phase of the target to end, zero if it has no soft
-// deadline.
-func (g Gate) slowWait(now time.Time, req AdmissionRequest) time.Duration {
-	if req.SoftDeadline.IsZero() {
-		return 0
-	}
-	return g.state.SlowWait(now, g.usualServiceTime(req))
-}
-
-// currentServiceTime returns the expected service time of a request that starts now.
-func (g Gate) currentServiceTime(req AdmissionRequest) time.Duration {
-	return time.Duration(float64(g.usualServiceTime(req)) * g.state.Slowdown())
-}
-
-// maxExpectedWait returns the longest expected wait with which a new request is queued. A request that will miss its soft
-// deadline is queued for a short time only: others start before it, and an early refusal leaves its sender more time.
-// A nested request waits as long as it can still be answered: refusing it wastes the run that made it. This matters most when all
-// targets are cold after a loss of power, because each run takes up a start that the cold rate allows.
-func (g Gate) maxExpectedWait(now time.Time, req AdmissionRequest, wait time.Duration) time.Duration {
-	switch {
-	case g.IsSelfReporting() && req.Nested():
-		return req.Deadline.Sub(now) - g.baseServiceTime(req)
-	case req.SoftDeadline.IsZero():
-		return maxQueueTime
-	case req.Late(now.Add(wait), g.baseServiceTime):
-		return req.LatencyObjective / lateWaitDivisor
-	}
-	return req.SoftDeadline.Sub(now)
-}
-
-// usualServiceTime returns how long a request runs at slowdown 1. For a route without responses it is derived from the
-// latency objective.
-func (g Gate) usualServiceTime(req AdmissionRequest) time.Duration {
-	return g.serviceTimes.Mean(req.Route, req.LatencyObjective/unseenRouteDivisor)
-}
-
-// baseServiceTime returns how long a request runs outside of slow phases.
-func (g Gate) baseServiceTime(req AdmissionRequest) time.Duration {
-	return time.Duration(float64(g.usualServiceTime(req)) * g.state.BaseSlowdown())
-}
-
-// expectedWait returns the expected time in the queue of a new request.
-func (g Gate) expectedWait(now time.Time, req AdmissionRequest) time.Duration {
-	limit, running := g.limit.Value(), len(g.running)
-	service := g.limit.ServiceTime()
-	if g.IsSelfReporting() && g.limit.samples == 0 {
-		service = max(service, g.usualServiceTime(req))
-	}
-	service = time.Duration(float64(service) * g.state.BaseSlowdown())
-	ahead := g.queue.Ahead(req)
-	wait := service * time.Duration(ahead+1) / time.Duration(limit)
-	if running > limit {
-		wait += service * time.Duration(running-limit) / time.Duration(running)
-	}
-	if nextStart := g.state.NextStart(now); !nextStart.IsZero() {
-		// A cold target serves the queue at its cold rate.
-		wait = max(wait, nextStart.Sub(now)+time.Duration(float64(ahead)/g.state.Registration().ColdRate*float64(time.Second)))
-	}
-	return wait
-}
-
 // withStart starts the request; it modifies the queue, which must be a clone.
 func (g Gate) withStart(now time.Time, req AdmissionRequest) Gate {
 	cost := g.limit.ServiceTime()
@@ -468,15 +374,6 @@
 	return g, decisions
 }
 
-// awaitsReport reports whether a waiting request must get a fresh report before it starts.
-func (g Gate) awaitsReport(now time.Time, req AdmissionRequest) bool {
-	if req.SoftDeadline.IsZero() || g.state.IsFresh(now) {
-		return false
-	}
-	at := slices.IndexFunc(g.queue.waiters, func(w waiter) bool { return w.request.ID == req.ID })
-	return !g.queue.waiters[at].waitedForReport(now)
-}
-
 // replacedText is the refusal text for a request to a target whose address another one has taken over.
 const replacedText = "another target has the address"
 
