--- a/node/peer/budget_test.go
+++ b/node/peer/budget_test.go
@@ -106,7 +106,7 @@
 }
 
 // TestRetriesOfCallingServices guards against a fleet that sends more retries to a service than its ratio of the requests allows, because
-// runs that were retries make their calls again: on kkbs-rounds-grown a service that shed all its requests got 2,123 of them in 10 s,
+// runs that were retries make their calls again: in a fleet of 66 nodes a service that shed all its requests got 2,123 of them in 10 s,
 // 4 more than allowed.
 func TestRetriesOfCallingServices(t *testing.T) {
 	const roots, ratio, burst = 20_000, 0.15, 2
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -60,8 +60,8 @@
 	// RetryAllowance returns this node's allowance for retries of a service, where the fleet as a whole has a limit; nil gives
 	// each route its own budget. It must not change after the first request.
 	RetryAllowance func() RetryAllowance
-	// RetriedShare returns the share of the runs at the node's own target that were retries, in which proportion the
-	// calls that this target makes count as retries. It is called on the control goroutine; nil means none.
+	// RetriedShare returns the share of the runs at the node's own target that were retries; the calls that this target makes count
+	// as retries in the same proportion. It is called on the control goroutine; nil means none.
 	RetriedShare func() float64
 
 	self       Self
--- a/node/registry/feed_test.go
+++ b/node/registry/feed_test.go
@@ -164,7 +164,7 @@
 const emptyKey = "empty"
 
 // TestFeedStart guards against a fleet that starts together and calls the registry with every node until all targets are listed: on
-// abl-sync-large 1,600 of 1,850 calls of a day came from nodes that knew no other one and took themselves for readers.
+// a day of 295 nodes 1,600 of 1,850 calls came from nodes that knew no other one and took themselves for readers.
 func TestFeedStart(t *testing.T) {
 	const n = 60
 	f := newUnstartedFleet(t, n)
