--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -159,7 +159,7 @@
 	var due time.Time
 	for i := range g.queue.waiters {
 		w := &g.queue.waiters[i]
-		at := earlierOf(g.expiry(*w), w.request.Deadline)
+		at := earlierOf(g.expiry(now, *w), w.request.Deadline)
 		if !g.state.IsFresh(now) && !w.waitedForReport(now) {
 			at = earlierOf(at, w.arrived.Add(maxReportWait))
 		}
@@ -353,7 +353,7 @@
 		switch {
 		case !w.request.Deadline.IsZero() && !now.Before(w.request.Deadline):
 			decisions = append(decisions, refuse(w.request.ID, answer.CodeLate, 0, "the deadline passed in the queue"))
-		case !now.Before(g.expiry(w)):
+		case !now.Before(g.expiry(now, w)):
 			decisions = append(decisions, refuse(w.request.ID, answer.CodeBusy, g.expectedWait(now, w.request), "the request waited too long in the queue"))
 		default:
 			i++
--- a/node/target/selfreport_test.go
+++ b/node/target/selfreport_test.go
@@ -39,6 +39,8 @@
 	fast, slow := selfReportingGate(1), selfReportingGate(4)
 	busy := fillGate(fast)
 	withMaxWait := func(req AdmissionRequest, d time.Duration) AdmissionRequest { req.MaxWait = d; return req }
+	cold := NewGate(1).WithRegistration(Registration{Name: "i", Slots: 10, ColdRate: 5})
+	cold = fillGate(cold.WithReport(start, answer.TargetReport{HasLoad: true, Slowdown: 1, Instance: "i", ColdRemaining: 3 * time.Second}, true))
 	nested := func(req AdmissionRequest, deadline int) AdmissionRequest {
 		req.Account, req.Deadline = "", start.Add(ms(deadline))
 		return req
@@ -58,11 +60,13 @@
 		"full":                               {gate: busy, request: newRequest(1, 600), want: ActionWait},
 		"full, may not wait":                 {gate: busy, request: withMaxWait(newRequest(1, 600), 0), want: ActionRefuse},
 		"full, soft deadline can't be met":   {gate: fillGate(selfReportingGate(1)), request: newRequest(1, 10), want: ActionRefuse},
-		"nested, soft deadline can't be met": {gate: fillGate(selfReportingGate(1)), request: nested(newRequest(1, 10), 600), want: ActionWait},
-		"nested, deadline can't be met":      {gate: fillGate(selfReportingGate(1)), request: nested(newRequest(1, 10), 10), want: ActionRefuse},
-		"nested, may not wait":               {gate: busy, request: nested(withMaxWait(newRequest(1, 600), 0), 1200), want: ActionRefuse},
-		"target does not answer":             {gate: fast.WithUnreachable(start), request: newRequest(1, 600), want: ActionRefuse},
-		"target answers again":               {gate: fast.WithUnreachable(start).WithReport(start, answer.TargetReport{HasLoad: true, Slowdown: 1}, true), request: newRequest(1, 600), want: ActionStart},
+		"nested, soft deadline can't be met": {gate: fillGate(selfReportingGate(1)), request: nested(newRequest(1, 10), 600), want: ActionRefuse},
+		"nested, cold, soft deadline can't be met": {gate: cold, request: nested(newRequest(1, 10), 1200), want: ActionWait},
+		"not nested, cold":                         {gate: cold, request: newRequest(1, 10), want: ActionRefuse},
+		"nested, cold, deadline can't be met":      {gate: cold, request: nested(newRequest(1, 10), 50), want: ActionRefuse},
+		"nested, cold, may not wait":               {gate: cold, request: nested(withMaxWait(newRequest(1, 600), 0), 1200), want: ActionRefuse},
+		"target does not answer":                   {gate: fast.WithUnreachable(start), request: newRequest(1, 600), want: ActionRefuse},
+		"target answers again":                     {gate: fast.WithUnreachable(start).WithReport(start, answer.TargetReport{HasLoad: true, Slowdown: 1}, true), request: newRequest(1, 600), want: ActionStart},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/node/target/wait.go
+++ b/node/target/wait.go
@@ -18,9 +18,9 @@
 func (w waiter) waitedForReport(now time.Time) bool { return now.Sub(w.arrived) >= maxReportWait }
 
 // expiry returns when the request stops waiting: at its soft deadline, a short time after its arrival if that is later, or
-// after maxQueueTime if it has no soft deadline. A nested request at a self-reporting target waits until its deadline.
-func (g Gate) expiry(w waiter) time.Time {
-	if g.IsSelfReporting() && w.request.Nested() {
+// after maxQueueTime if it has no soft deadline. A nested request at a cold target waits until its deadline.
+func (g Gate) expiry(now time.Time, w waiter) time.Time {
+	if g.letsNestedWait(now, w.request) {
 		return w.request.Deadline
 	}
 	if w.request.SoftDeadline.IsZero() {
@@ -31,11 +31,12 @@
 
 // maxExpectedWait returns the longest expected wait with which a new request is queued. A request that will miss its soft
 // deadline is queued for a short time only: others start before it, and an early refusal leaves its sender more time.
-// A nested request waits as long as it can still be answered: refusing it wastes the run that made it. This matters most when all
-// targets are cold after a loss of power, because each run takes up a start that the cold rate allows.
+// A nested request at a cold target waits as long as it can still be answered: refusing it wastes the run that made it, and each run
+// takes up a start that the cold rate allows. When all targets are cold after a loss of power, that is all that the fleet can serve. At a
+// warm target it does not wait longer, because the run that made it holds a slot meanwhile.
 func (g Gate) maxExpectedWait(now time.Time, req AdmissionRequest, wait time.Duration) time.Duration {
 	switch {
-	case g.IsSelfReporting() && req.Nested():
+	case g.letsNestedWait(now, req):
 		return req.Deadline.Sub(now) - g.baseServiceTime(req)
 	case req.SoftDeadline.IsZero():
 		return maxQueueTime
@@ -45,6 +46,11 @@
 	return req.SoftDeadline.Sub(now)
 }
 
+// letsNestedWait reports whether the request waits beyond its latency objective because a running request made it.
+func (g Gate) letsNestedWait(now time.Time, req AdmissionRequest) bool {
+	return g.IsSelfReporting() && req.Nested() && g.state.IsCold(now)
+}
+
 // expectedWaitNow returns the expected wait of a request that arrives now, has the usual service time and states no soft
 // deadline. It is zero unless the target is self-reporting.
 func (g Gate) expectedWaitNow(now time.Time) time.Duration {
