target: don't take scheduler noise for a slower target

Cause: the limit of a target without declared slots learns from ratios of latencies. At a millisecond a request the noise of the scheduler exceeds the ratio of 1.5 that lowers the limit, so that a target with free slots refused requests because its queue of twice the limit was full. Change: latencies below 2 ms count as 2 ms. Targets that declare their slots, as on the users' platform, are not affected. Trial, not kept: a queue that holds what the target serves in 5 or 50 ms; no fewer refusals with the floor.

--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -8,7 +8,6 @@
 )
 
 const (
-	queueFactor           = 2               // maximum queue length as a multiple of the limit
 	leavingRetryAfter     = time.Second     // retry delay for a target that is leaving, evacuated or replaced
 	unreachableRetryAfter = probePauseStale // retry delay for a target that does not answer
 	retriedWeight         = 32              // runs over which the share of retried requests is averaged
--- a/node/target/limit.go
+++ b/node/target/limit.go
@@ -30,6 +30,9 @@
 	// sheds a request or breaks a connection during this growth.
 	minGrowthInterval = time.Second
 	maxGrowthInterval = 8 * time.Second
+	// latencyFloor is the latency below which differences are noise of the scheduler and the network, which would lower the limit of a
+	// fast target again and again.
+	latencyFloor = 2 * time.Millisecond
 	// initialServiceTime is assumed until the first response.
 	initialServiceTime = 10 * time.Millisecond
 )
@@ -166,7 +169,7 @@
 		return l.withDeclaredSuccess(now, latency)
 	}
 	afterReduction := !started.Before(l.reducedAt)
-	latency = max(latency, time.Microsecond)
+	latency = max(latency, latencyFloor)
 	if l.samples == 0 {
 		l.baseline, l.recentMean, l.medianMean = latency, latency, latency
 	}
--- a/node/target/wait.go
+++ b/node/target/wait.go
@@ -8,6 +8,7 @@
 // How long requests wait at the gate.
 const (
 	maxQueueTime = 50 * time.Millisecond // maximum wait of a request without a soft deadline
+	queueFactor  = 2                     // maximum queue length as a multiple of the limit
 	// A request on a route without responses is expected to run for this fraction of its latency objective.
 	unseenRouteDivisor = 3
 	// A request that will miss its soft deadline waits for up to this fraction of its latency objective.
