tcp, daemon: say why a connection is not accepted, and count the open ones

A node that takes no new connection left only "library reported a fault" in its log: the cause of a failed accept was dropped with all other texts of libraries.

Each listener reports the cause with the number of open connections of each kind. Dialed connections to targets and nodes are counted too (metric conns). No decision changes.

--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"syscall"
 	"time"
 
@@ -26,6 +27,7 @@
 	"verbenapin.dev/node/peer"
 	registryrpc "verbenapin.dev/node/registry/rpc"
 	registrypb "verbenapin.dev/node/registry/rpc/pb"
+	"verbenapin.dev/node/tcp"
 )
 
 const (
@@ -44,13 +46,14 @@
 )
 
 // controlDialOptions returns the options of outgoing control connections, which are plain without an identity.
-func controlDialOptions(identity *peer.Identity) []grpc.DialOption {
+func controlDialOptions(identity *peer.Identity, dial tcp.Dial) []grpc.DialOption {
 	creds := insecure.NewCredentials()
 	if identity != nil {
 		creds = credentials.NewTLS(identity.ControlConfig("h2"))
 	}
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) }),
 		grpc.WithIdleTimeout(controlIdleTimeout),
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
@@ -63,6 +66,11 @@
 	}
 }
 
+// dialControl returns the function that opens control connections.
+func (n *Node) dialControl() tcp.Dial {
+	return n.conns.Dial(tcp.KindControl, (&net.Dialer{}).DialContext)
+}
+
 // newControlServer returns the gRPC server for heartbeats, configuration versions, leases and registry updates.
 func (n *Node) newControlServer() *grpc.Server {
 	creds := insecure.NewCredentials()
--- a/node/daemon/listen.go
+++ b/node/daemon/listen.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/netip"
 	"syscall"
+
+	"verbenapin.dev/node/tcp"
 )
 
 type listeners struct {
@@ -16,13 +18,14 @@
 	for _, l := range []struct {
 		flag    string
 		address netip.AddrPort
+		kind    tcp.Kind
 		dst     *net.Listener
 	}{
-		{"--caller", n.settings.Caller, &n.listeners.caller},
-		{"--peer", n.settings.Peer, &n.listeners.peer},
-		{"--control", n.settings.Control, &n.listeners.control},
-		{"--admin", n.settings.Admin, &n.listeners.admin},
-		{"--ready", n.settings.Ready, &n.listeners.ready},
+		{"--caller", n.settings.Caller, tcp.KindCaller, &n.listeners.caller},
+		{"--peer", n.settings.Peer, tcp.KindPeer, &n.listeners.peer},
+		{"--control", n.settings.Control, tcp.KindControl, &n.listeners.control},
+		{"--admin", n.settings.Admin, tcp.KindAdmin, &n.listeners.admin},
+		{"--ready", n.settings.Ready, tcp.KindReady, &n.listeners.ready},
 	} {
 		if !l.address.IsValid() {
 			continue
@@ -31,7 +34,7 @@
 		if err != nil {
 			return UnusableError{Flag: l.flag, Err: err, Remedy: listenRemedy(err)}
 		}
-		*l.dst = listener
+		*l.dst = tcp.NewListener(listener, l.kind, n.conns, n.onAcceptError)
 	}
 	if n.settings.UsesRegistry {
 		// Load reports use the same port as requests between nodes, so that one address identifies a node.
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -27,6 +27,7 @@
 	"verbenapin.dev/node/peer"
 	"verbenapin.dev/node/registry"
 	"verbenapin.dev/node/target"
+	"verbenapin.dev/node/tcp"
 )
 
 const (
@@ -47,6 +48,7 @@
 	policy   Policy
 	platform *Platform // nil with the configuration service and the instance list
 	bootID   uint32
+	conns    *tcp.Counts
 	clock    *clock.Clock
 	loop     *loop.Loop
 	journal  *journal.Journal
@@ -78,6 +80,7 @@
 	loadExchange    *peer.LoadExchange // nil without a platform
 	listeners       listeners
 	subscriptions   []*clock.Subscription
+	ticks           tickMonitor // of the subscription that updates the gauges
 	leaving         chan struct{}
 }
 
@@ -91,7 +94,7 @@
 }
 
 func newNode(s Settings, p Policy, platform *Platform, log io.Writer) (*Node, error) {
-	n := &Node{settings: s, policy: p, platform: platform, bootID: rand.Uint32(), clock: clock.New(), leaving: make(chan struct{})}
+	n := &Node{settings: s, policy: p, platform: platform, bootID: rand.Uint32(), clock: clock.New(), conns: tcp.NewCounts(), leaving: make(chan struct{})}
 	n.registryState.complete = make(chan struct{})
 	if !s.Standalone() && !s.Plain {
 		identity, err := peer.NewIdentity(s.Name, s.Cert, s.Key, s.CA)
@@ -213,6 +216,7 @@
 	m := map[string]func(ctx context.Context) error{
 		"caller": func(ctx context.Context) error {
 			n.awaitConfig(ctx)
+			n.journal.Info("connections of callers are accepted", journal.Address(n.settings.Caller))
 			return n.callerServer.Serve(n.listeners.caller)
 		},
 		"operator": n.operatorServer.Serve,
@@ -251,4 +255,5 @@
 	}
 	n.subscriptions = append(n.subscriptions, n.clock.Subscribe(unlistedInterval, func(time.Time) { _ = n.loop.Post(context.Background(), n.dropUnlisted) }))
 	n.subscriptions = append(n.subscriptions, n.clock.Subscribe(metricsInterval, func(time.Time) { n.updateGauges() }))
+	n.subscriptions = append(n.subscriptions, n.clock.Subscribe(metricsInterval, n.checkLoop))
 }
--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -103,6 +103,8 @@
 // updateGauges sets the gauges of configuration, load, probes and other instances.
 func (n *Node) updateGauges() {
 	v, now := n.store.Snapshot(), n.clock.Now()
+	n.checkTimers(now)
+	n.metrics.SetConnections(n.openConns())
 	n.metrics.SetVersion(v.Version(), v.ConfirmationAge(now))
 	load := n.admission.Load()
 	n.metrics.SetLoad(load.Running, load.Queued, load.Limit)
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -11,6 +11,7 @@
 	"verbenapin.dev/node/operator"
 	"verbenapin.dev/node/peer"
 	"verbenapin.dev/node/target"
+	"verbenapin.dev/node/tcp"
 )
 
 // maxTargetConns bounds the connections to the target: the limit in the specification of the first targets.
@@ -20,11 +21,13 @@
 func (n *Node) assembleTraffic() {
 	s := n.settings
 	n.transport = target.NewTransport(s.Target, maxTargetConns)
+	n.transport.Dial = n.conns.Dial(tcp.KindTarget, n.transport.Dial)
 	n.admission = target.NewAdmission(n.loop, n.clock, n.policy.Admit, n.probeBudget, n.probe)
 	n.forwarder = target.NewForwarder(n.clock.Now, n.store.ServingTree, n.admission.Admit, n.admission.Load, n.roundTrip)
 	if !s.Standalone() {
-		n.pool = rpc.NewPool(controlDialOptions(n.identity)...)
+		n.pool = rpc.NewPool(controlDialOptions(n.identity, n.dialControl())...)
 		n.client = peer.NewClient(n.clock.Now, n.peerClientTLS(), n.peerAddr)
+		n.client.Dial = n.conns.Dial(tcp.KindHop, n.client.Dial)
 		n.peerServer = peer.NewServer(n.clock.Now, n.peerServerTLS(), n.serveAttempt, n.admission.Load, n.journal.StdLogger("peer"))
 		n.controlServer = n.newControlServer()
 	}
--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -117,6 +117,9 @@
 	Limit   int `json:"limit"`
 }
 
+// Connections is the number of open connections of each kind.
+func Connections(open map[string]int) Field { return Field{name: "conns", value: open} }
+
 // Took is an elapsed time in milliseconds.
 func Took(d time.Duration) Field { return Field{name: "took", value: milliseconds(d)} }
 
--- a/node/operator/metrics.go
+++ b/node/operator/metrics.go
@@ -57,6 +57,8 @@
 		"version": {help: "Number of the configuration version in force."},
 		"age":     {help: "Age of the evidence that the version is the newest, in seconds."},
 		"peers":   {help: "Other instances, by state.", labels: []string{"state"}},
+		"conns":   {help: "Open TCP connections, by what they are for.", labels: []string{"kind"}},
+		"lag":     {help: "Time that an event waited for the control goroutine, in seconds."},
 		"running": {help: "Requests running on the target."},
 		"queued":  {help: "Requests queued beside the target."},
 		"limit":   {help: "Concurrent requests that the target has capacity for."},
@@ -188,6 +190,16 @@
 	m.set("peers", "unreachable", float64(unreachable))
 }
 
+// SetConnections sets the number of open connections of each kind.
+func (m *Metrics) SetConnections(open map[string]int) {
+	for kind, n := range open {
+		m.set("conns", kind, float64(n))
+	}
+}
+
+// SetLag sets how long an event waited for the control goroutine.
+func (m *Metrics) SetLag(d time.Duration) { m.set("lag", "", d.Seconds()) }
+
 // SetLoad sets the load of the target beside the node.
 func (m *Metrics) SetLoad(running, queued, limit int) {
 	m.set("running", "", float64(running))
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -15,6 +15,7 @@
 
 	"verbenapin.dev/node/answer"
 	"verbenapin.dev/node/target"
+	"verbenapin.dev/node/tcp"
 )
 
 const (
@@ -38,6 +39,8 @@
 type Client struct {
 	// SenderName is the name of this node, to which other nodes send load reports; empty for none.
 	SenderName string
+	// Dial opens a connection to another node; it must not change after the first request.
+	Dial tcp.Dial
 
 	http   *http.Transport
 	scheme string
@@ -47,14 +50,14 @@
 // NewClient returns a client; address returns the address where a node accepts requests of other nodes. If cfg is nil, the
 // connections use no TLS.
 func NewClient(now func() time.Time, cfg *tls.Config, address func(name string) (string, bool)) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	scheme := "https"
 	if cfg == nil {
 		scheme = "http"
 	}
-	return &Client{now: now, scheme: scheme, http: &http.Transport{
+	c := &Client{Dial: (&net.Dialer{Timeout: dialTimeout}).DialContext, now: now, scheme: scheme}
+	c.http = &http.Transport{
 		DialContext: func(ctx context.Context, network, hostport string) (net.Conn, error) {
 			name, _, err := net.SplitHostPort(hostport)
 			if err != nil {
@@ -67,7 +70,7 @@
 			if !ok {
 				return nil, AddressError{Name: name}
 			}
-			return dialer.DialContext(ctx, network, addr)
+			return c.Dial(ctx, network, addr)
 		},
 		TLSClientConfig:        cfg,
 		TLSHandshakeTimeout:    dialTimeout,
@@ -79,7 +82,8 @@
 		MaxIdleConnsPerHost:    maxIdleConns,
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
-	}}
+	}
+	return c
 }
 
 // Do sends one attempt to the node with the given name; it may change the headers of the request. Its error is an
--- a/node/target/transport.go
+++ b/node/target/transport.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"verbenapin.dev/node/tcp"
 )
 
 const (
@@ -49,16 +51,19 @@
 
 // Transport sends requests to the target over reused connections and never sends one twice.
 type Transport struct {
+	// Dial opens a connection to the target; it must not change after the first request.
+	Dial tcp.Dial
+
 	base atomic.Pointer[url.URL]
 	http *http.Transport
 }
 
 // NewTransport returns a transport to the target at base with at most conns connections.
 func NewTransport(base *url.URL, conns int) *Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	t := &Transport{http: &http.Transport{
+	t := &Transport{Dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	t.http = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
+			c, err := t.Dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
@@ -70,7 +75,7 @@
 		IdleConnTimeout:        idleTimeout,
 		ExpectContinueTimeout:  continueTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}
 	t.base.Store(base)
 	return t
 }
