tcp: accept again after any error

Seen: the listener of callers ends at an accept error other than three known ones; net/http and gRPC end theirs at errors that are not temporary for package net.

Cause: a failed accept concerns one connection or a lack of resources, and was taken for the end of the listener.

Change: tcp.Listener, which all listeners use, reports the error and accepts again after 5 to 100 ms until it is closed. The loop of the caller server that did this for three errors is gone.

TestAcceptAfterError fails in all six cases, and TestCloseWhileWaiting, with a listener that returns the error.

--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -4,14 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"verbenapin.dev/node/answer"
@@ -27,9 +25,6 @@
 	// that somewhat larger heads still get a refusal of this node.
 	maxReadHeadBytes   = 4 * maxHeadBytes
 	maxRequestIDLength = 64
-	// Delays after a connection could not be accepted, for example because no file descriptors were free.
-	minAcceptDelay = 5 * time.Millisecond
-	maxAcceptDelay = time.Second
 )
 
 // Dispatch selects targets and sends requests to them.
@@ -124,7 +119,7 @@
 }
 
 // NewServer returns a server. tree returns the configuration in force or a refusal, acquire returns a permit of an account, and
-// errorLog takes failures to accept connections, panics, and what net/http logs.
+// errorLog takes panics and what net/http logs.
 func NewServer(
 	now func() time.Time,
 	tree func() (config.Tree, error),
@@ -143,46 +138,25 @@
 	return s
 }
 
-// Serve accepts connections on l until Shutdown.
+// Serve accepts connections on l until Shutdown; l must return an error only once it is closed, as tcp.Listener does.
 func (s *Server) Serve(l net.Listener) error {
 	if !s.addListener(l) {
 		return nil
 	}
 	defer s.http2.start()()
-	delay := time.Duration(0)
 	for {
 		raw, err := l.Accept()
 		switch {
 		case err == nil:
-			delay = 0
 			s.startConn(raw)
 		case s.isClosed():
 			return nil
-		case isTemporary(err):
-			delay = min(max(2*delay, minAcceptDelay), maxAcceptDelay)
-			s.errorLog.Printf("caller: accepting a connection: %v", err)
-			s.sleep(delay)
 		default:
 			return fmt.Errorf("caller: accepting a connection: %w", err)
 		}
 	}
 }
 
-// isTemporary reports whether a later connection may be accepted, for example once file descriptors are free.
-func isTemporary(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
-}
-
-// sleep returns after the given time or when the server shuts down.
-func (s *Server) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-s.closing:
-	}
-}
-
 // addListener registers a listener for closeConns; it reports false if the server has shut down.
 func (s *Server) addListener(l net.Listener) bool {
 	s.mu.Lock()
--- a/node/daemon/listen.go
+++ b/node/daemon/listen.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return UnusableError{Flag: l.flag, Err: err, Remedy: listenRemedy(err)}
 		}
-		*l.dst = tcp.NewListener(listener, l.kind, n.conns, n.onAcceptError)
+		*l.dst = tcp.NewListener(listener, l.kind, n.conns, n.clock, n.onAcceptError)
 	}
 	if n.settings.UsesRegistry {
 		// Load reports use the same port as requests between nodes, so that one address identifies a node.
--- a/node/tcp/listener.go
+++ b/node/tcp/listener.go
@@ -1,4 +1,4 @@
-// Package tcp counts the TCP connections of a node and reports why one could not be accepted.
+// Package tcp accepts and counts the TCP connections of a node.
 package tcp
 
 import (
@@ -7,6 +7,9 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"verbenapin.dev/node/clock"
 )
 
 // Kind states what a connection is for.
@@ -75,28 +78,68 @@
 	}
 }
 
-// Listener counts the connections that it accepts.
+// Delays after a failed accept, for example while no descriptor is free. The longest one is a tenth of the time for which callers
+// wait for a connection.
+const (
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = 100 * time.Millisecond
+)
+
+// Listener accepts connections until it is closed. A failed accept concerns one connection or a lack of resources, whatever its
+// error is, so that it is tried again: a server that ends its listener leaves a process that runs and cannot be reached.
 type Listener struct {
 	net.Listener
 
-	kind    Kind
-	counts  *Counts
-	onError func(k Kind, err error)
+	kind      Kind
+	counts    *Counts
+	clock     *clock.Clock
+	onError   func(k Kind, err error)
+	closing   chan struct{}
+	closeOnce sync.Once
 }
 
 // NewListener returns a listener of connections of a kind. onError takes the cause if a connection could not be accepted.
-func NewListener(l net.Listener, k Kind, c *Counts, onError func(k Kind, err error)) *Listener {
-	return &Listener{Listener: l, kind: k, counts: c, onError: onError}
+func NewListener(l net.Listener, k Kind, c *Counts, timers *clock.Clock, onError func(k Kind, err error)) *Listener {
+	return &Listener{Listener: l, kind: k, counts: c, clock: timers, onError: onError, closing: make(chan struct{})}
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection; its only error is net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err == nil {
-		return l.counts.track(l.kind, raw), nil
-	}
-	if !errors.Is(err, net.ErrClosed) {
+	for delay := minAcceptDelay; ; delay = min(2*delay, maxAcceptDelay) {
+		raw, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return l.counts.track(l.kind, raw), nil
+		case errors.Is(err, net.ErrClosed), l.isClosed():
+			return nil, net.ErrClosed
+		}
 		l.onError(l.kind, err)
+		l.wait(delay)
+	}
+}
+
+// wait returns after the given time or when the listener is closed.
+func (l *Listener) wait(d time.Duration) {
+	passed := make(chan struct{})
+	timer := l.clock.AfterFunc(d, func(time.Time) { close(passed) })
+	defer timer.Close()
+	select {
+	case <-passed:
+	case <-l.closing:
 	}
-	return nil, err
+}
+
+func (l *Listener) isClosed() bool {
+	select {
+	case <-l.closing:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close closes the listener and ends Accept.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closing) })
+	return l.Listener.Close()
 }
--- a/node/tcp/listener_test.go
+++ b/node/tcp/listener_test.go
@@ -5,8 +5,11 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"verbenapin.dev/node/clock"
 )
 
 // fakeListener returns the results of accept one after the other.
@@ -15,6 +18,9 @@
 	results []error // nil for a connection
 }
 
+// Close does nothing.
+func (l *fakeListener) Close() error { return nil }
+
 func (l *fakeListener) Accept() (net.Conn, error) {
 	if len(l.results) == 0 {
 		return nil, net.ErrClosed
@@ -40,7 +46,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			var reported error
-			l := NewListener(&fakeListener{results: []error{tc.err}}, KindCaller, NewCounts(), func(_ Kind, err error) { reported = err })
+			l := NewListener(&fakeListener{results: []error{tc.err, nil}}, KindCaller, NewCounts(), clock.New(), func(_ Kind, err error) { reported = err })
 			_, _ = l.Accept()
 			require.True(t, errors.Is(reported, tc.want), reported)
 		})
@@ -50,7 +56,7 @@
 // TestCounts guards against a connection that is counted twice, or still counted after it was closed.
 func TestCounts(t *testing.T) {
 	counts := NewCounts()
-	l := NewListener(&fakeListener{results: []error{nil, nil}}, KindPeer, counts, nil)
+	l := NewListener(&fakeListener{results: []error{nil, nil}}, KindPeer, counts, clock.New(), nil)
 	a, err := l.Accept()
 	require.NoError(t, err)
 	_, err = l.Accept()
@@ -61,3 +67,50 @@
 	require.Equal(t, 1, counts.Open(KindPeer))
 	require.Zero(t, counts.Open(KindCaller))
 }
+
+// TestAcceptAfterError guards against a listener that takes no further connection after a failed accept, because its server takes
+// the error for a final one.
+func TestAcceptAfterError(t *testing.T) {
+	cases := map[string]struct {
+		results []error
+		want    error
+	}{
+		"no descriptors, repeatedly": {results: []error{syscall.EMFILE, syscall.EMFILE, syscall.EMFILE, nil}},
+		"no buffers":                 {results: []error{syscall.ENOBUFS, nil}},
+		"reset by the caller":        {results: []error{syscall.ECONNABORTED, nil}},
+		"network error":              {results: []error{syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH, nil}},
+		"unknown error":              {results: []error{errors.New("unknown"), nil}},
+		"closed":                     {results: []error{syscall.EMFILE, net.ErrClosed}, want: net.ErrClosed},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			manual := clock.NewManual(time.Unix(1000, 0))
+			l := NewListener(&fakeListener{results: tc.results}, KindCaller, NewCounts(), manual.Clock(), func(Kind, error) {})
+			accepted := make(chan error, 1)
+			go func() {
+				_, err := l.Accept()
+				accepted <- err
+			}()
+			require.Eventually(t, func() bool {
+				manual.Advance(maxAcceptDelay)
+				return len(accepted) == 1
+			}, 5*time.Second, time.Millisecond)
+			require.ErrorIs(t, <-accepted, tc.want)
+		})
+	}
+}
+
+// TestCloseWhileWaiting guards against a server that does not stop while its listener waits after a failed accept.
+func TestCloseWhileWaiting(t *testing.T) {
+	failed := make(chan struct{}, 1)
+	l := NewListener(&fakeListener{results: []error{syscall.EMFILE}}, KindCaller, NewCounts(), clock.NewManual(time.Unix(1000, 0)).Clock(),
+		func(Kind, error) { failed <- struct{}{} })
+	accepted := make(chan error, 1)
+	go func() {
+		_, err := l.Accept()
+		accepted <- err
+	}()
+	<-failed
+	require.NoError(t, l.Close())
+	require.ErrorIs(t, <-accepted, net.ErrClosed)
+}
