tcp, daemon: a budget of descriptors, and a log line when they are scarce

Nothing said how many descriptors a process may open nor what used them. From three quarters of the descriptors on, a line once in 10 s names the open connections of each kind.

Tests of tcp, daemon, boot and command pass.

--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -49,6 +49,7 @@
 	platform *Platform // nil with the configuration service and the instance list
 	bootID   uint32
 	conns    *tcp.Counts
+	budget   tcp.Budget // of the connections in conns
 	clock    *clock.Clock
 	loop     *loop.Loop
 	journal  *journal.Journal
@@ -94,7 +95,7 @@
 }
 
 func newNode(s Settings, p Policy, platform *Platform, log io.Writer) (*Node, error) {
-	n := &Node{settings: s, policy: p, platform: platform, bootID: rand.Uint32(), clock: clock.New(), conns: tcp.NewCounts(), leaving: make(chan struct{})}
+	n := &Node{settings: s, policy: p, platform: platform, bootID: rand.Uint32(), clock: clock.New(), conns: tcp.NewCounts(), budget: tcp.ProcessBudget(s.Files), leaving: make(chan struct{})}
 	n.registryState.complete = make(chan struct{})
 	if !s.Standalone() && !s.Plain {
 		identity, err := peer.NewIdentity(s.Name, s.Cert, s.Key, s.CA)
--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -104,7 +104,7 @@
 func (n *Node) updateGauges() {
 	v, now := n.store.Snapshot(), n.clock.Now()
 	n.checkTimers(now)
-	n.metrics.SetConnections(n.openConns())
+	n.checkConnections()
 	n.metrics.SetVersion(v.Version(), v.ConfirmationAge(now))
 	load := n.admission.Load()
 	n.metrics.SetLoad(load.Running, load.Queued, load.Limit)
--- a/node/daemon/settings.go
+++ b/node/daemon/settings.go
@@ -54,6 +54,7 @@
 	Grace   string `long:"grace" env:"VERBENAPIN_GRACE" value-name:"TIME" default:"30s" description:"Longest graceful shutdown, with unit, at least 3s and at most 1h"`
 	Log     string `long:"log" env:"VERBENAPIN_LOG" value-name:"LEVEL" default:"info" description:"Lowest level to log: debug, info, warn or error"`
 	Link    string `long:"link" env:"VERBENAPIN_LINK" value-name:"SPEED" default:"0Mbit/s" description:"Speed of the instance's network link, such as 100Mbit/s, of which large responses get four fifths; 0Mbit/s sets no limit"`
+	Files   string `long:"files" env:"VERBENAPIN_FILES" value-name:"NUMBER" default:"0" description:"File descriptors that the process may open, from 64, most of them for connections; 0 takes the limit of the process"`
 	Slow    string `long:"slow" env:"VERBENAPIN_SLOW" value-name:"TIME" default:"250ms" description:"Requests whose response head takes longer are logged with their stages; 0s logs none"`
 	Trace   string `long:"trace" env:"VERBENAPIN_TRACE" value-name:"URL" description:"OTLP endpoint for spans (OTLP over HTTP), such as http://127.0.0.1:4318, to which /v1/traces is added if it has no path; without it no span is recorded"`
 	Sample  string `long:"sample" env:"VERBENAPIN_SAMPLE" value-name:"PERCENT" default:"1%" description:"Share of requests to trace when the caller has not decided, 0% to 100%"`
@@ -82,6 +83,7 @@
 	Grace         time.Duration
 	Log           logrus.Level
 	Link          float64       // speed of the instance's network link in bytes per second, zero for no limit
+	Files         int           // file descriptors that the process may open, zero for the limit of the process
 	SlowThreshold time.Duration // zero logs no slow requests
 	Trace         *url.URL      // nil if tracing is off
 	Sample        float64       // share of requests to trace, 0 to 1
@@ -152,6 +154,7 @@
 		Grace:         p.grace(f.Grace),
 		Log:           p.level(f.Log),
 		Link:          p.speed(f.Link),
+		Files:         p.files(f.Files),
 		SlowThreshold: p.slowThreshold(f.Slow),
 		Trace:         p.url("trace", f.Trace, false, "http", "https"),
 		Sample:        p.percentage("sample", f.Sample),
@@ -276,6 +279,18 @@
 	return x * link.BytesPerMegabit
 }
 
+// minFiles is enough for one request at a time beside the listeners.
+const minFiles = 64
+
+func (p *settingsParser) files(value string) int {
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 0 || (n > 0 && n < minFiles) {
+		p.addFault("--files", fmt.Sprintf("%q is not a number of descriptors", value), fmt.Sprintf("use a whole number from %d, or 0 for the limit of the process", minFiles))
+		return 0
+	}
+	return n
+}
+
 func (p *settingsParser) level(value string) logrus.Level {
 	switch value {
 	case "debug", "info", "warn", "error":
--- a/node/daemon/stall.go
+++ b/node/daemon/stall.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// scarceDescriptors is the share of the descriptors from which their use is logged.
+const scarceDescriptors = 0.75
+
+// checkConnections sets the gauges of open connections, and logs which kinds use the descriptors once they are scarce.
+func (n *Node) checkConnections() {
+	open, total := n.openConns(), 0
+	for _, count := range open {
+		total += count
+	}
+	n.metrics.SetConnections(open)
+	if float64(total) >= scarceDescriptors*float64(n.budget.Descriptors()) {
+		n.journal.WarnRecurring("descriptors are scarce", journal.Connections(open), journal.Count(n.budget.Descriptors()))
+	}
+}
+
 // onAcceptError logs a connection that could not be accepted, with the open connections of all kinds.
 func (n *Node) onAcceptError(k tcp.Kind, err error) {
 	n.journal.WarnRecurring("a connection could not be accepted", journal.Part(string(k)), journal.Cause(err), journal.Connections(n.openConns()))
