caller: bound the connections of callers, and let idle ones give way

The log of the new lines says why: accept4: too many open files, conns caller 109, target 1, of 120 descriptors; no line of the supervisor, no late timer, no late control goroutine.

Cause: nothing bounds the connections of callers, and only the idle time-out (15 s to 2 min) lets one go, so that callers can take all descriptors, those of readiness checks, targets, other nodes and the store included.

Change: callers get their part of the budget (2/5). Without room, the longest idle connection (from 0.25 s) or the oldest incomplete head (from 1 s) gives way; connections with requests never do. If all are in use, the new caller's request is refused as not run, and beyond an eighth kept for that the connection is closed unread. The decision, Room.Decide, is free of I/O. Each case is counted (crowded) and logged. HTTP/2 connections without streams count as idle.

--- a/node/caller/attempt_test.go
+++ b/node/caller/attempt_test.go
@@ -28,7 +28,7 @@
 	return Events{
 		OnStart: func(ctx context.Context, _ http.Header) context.Context { return ctx },
 		OnEnd:   func(context.Context, Result) {},
-		OnRetry: func(string) {},
+		OnRetry: func(string) {}, OnNoRoom: func(RoomAction) {},
 	}
 }
 
--- a/node/caller/conn.go
+++ b/node/caller/conn.go
@@ -65,8 +65,13 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	refusing bool // there is no room for the connection, so that its requests are refused; does not change once it is served
+
 	mu       sync.Mutex
 	pending  int  // requests that have begun to arrive and are not yet answered
+	inHead   bool // a head has begun to arrive and is incomplete
+	http2    bool // net/http serves the connection
+	streams  bool // the HTTP/2 connection has streams
 	closing  bool // no further requests are read
 	handlers sync.WaitGroup
 	slots    chan struct{}
@@ -165,6 +170,7 @@
 		return nil, err
 	}
 	r, err := http.ReadRequest(c.reader)
+	c.endHead()
 	c.raw.remaining = int(^uint(0) >> 1)
 	if err == nil {
 		err = checkHead(r)
@@ -185,14 +191,59 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending++
+	c.inHead = true
+	c.recordState()
 	return c.raw.SetReadDeadline(time.Now().Add(c.server.headWait()))
 }
 
+// endHead records that no further part of a head is awaited.
+func (c *conn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHead = false
+	c.recordState()
+}
+
+// state returns what the connection is doing; c.mu must be held.
+func (c *conn) state() connState {
+	switch {
+	case c.http2 && c.streams:
+		return stateBusy
+	case c.pending == 0:
+		return stateIdle
+	case c.pending == 1 && c.inHead:
+		return stateHead
+	default:
+		return stateBusy
+	}
+}
+
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// recordState tells the server's table what the connection is doing; c.mu must be held.
+func (c *conn) recordState() { c.server.conns.setState(c.server.now(), c, c.state()) }
+
+// yield closes the connection for another one, unless a request has arrived meanwhile.
+func (c *conn) yield() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state() == stateBusy {
+		return
+	}
+	c.closing = true
+	_ = c.raw.SetReadDeadline(time.Now()) // wakes the reading goroutine
+}
+
 // endRequest removes a request from the pending ones, and sets the idle timeout if it was the last of them.
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.recordState()
 	if c.pending > 0 {
 		return
 	}
@@ -267,12 +318,16 @@
 	if r.Method != "PRI" || r.RequestURI != "*" || r.ProtoMajor != 2 {
 		return false
 	}
-	c.endRequest()
+	if c.refusing {
+		c.endRequest()
+		return true
+	}
+	c.beginHTTP2()
 	_ = c.raw.SetReadDeadline(time.Time{})
 	// http.ReadRequest has consumed the preface up to the empty line, and net/http expects it.
 	consumed := http2Preface[:len("PRI * HTTP/2.0\r\n\r\n")]
 	replayed := &replayedConn{
-		Conn: c.raw.Conn, reader: io.MultiReader(strings.NewReader(consumed), c.reader), closed: make(chan struct{}),
+		Conn: c.raw.Conn, owner: c, reader: io.MultiReader(strings.NewReader(consumed), c.reader), closed: make(chan struct{}),
 	}
 	if c.server.http2.handOver(replayed) {
 		<-replayed.closed
@@ -280,9 +335,26 @@
 	return true
 }
 
+// beginHTTP2 ends the request that began the HTTP/2 connection.
+func (c *conn) beginHTTP2() {
+	c.mu.Lock()
+	c.http2, c.streams = true, true
+	c.mu.Unlock()
+	c.endRequest()
+}
+
+// setStreams records whether the HTTP/2 connection has streams.
+func (c *conn) setStreams(streams bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams = streams
+	c.recordState()
+}
+
 // replayedConn is a connection whose first bytes were already read; its reader returns them again.
 type replayedConn struct {
 	net.Conn
+	owner  *conn
 	reader io.Reader
 	once   sync.Once
 	closed chan struct{}
@@ -313,6 +385,13 @@
 		c.endRequest()
 		close(w.done)
 	}()
+	if c.isClosing() {
+		w.Header().Set("Connection", "close")
+	}
+	if c.refusing {
+		c.server.refuseForRoom(w, r.WithContext(c.ctx))
+		return
+	}
 	c.server.serve(w, r.WithContext(c.ctx))
 }
 
--- a/node/caller/http2.go
+++ b/node/caller/http2.go
@@ -21,10 +21,18 @@
 		http: &http.Server{
 			Handler: h, Protocols: protocols, ErrorLog: errorLog,
 			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxReadHeadBytes,
+			ConnState: recordStreams,
 		},
 	}
 }
 
+// recordStreams tells an HTTP/2 connection whether it has streams.
+func recordStreams(c net.Conn, state http.ConnState) {
+	if replayed, ok := c.(*replayedConn); ok && state != http.StateClosed {
+		replayed.owner.setStreams(state != http.StateIdle)
+	}
+}
+
 // start serves in the background; the returned function stops accepting connections and waits until Serve has returned.
 func (s *http2Server) start() func() {
 	served := make(chan struct{})
--- a/node/caller/request.go
+++ b/node/caller/request.go
@@ -32,14 +32,25 @@
 	result         Result
 }
 
+// newRequest returns a request that has arrived and sets the headers that each response to it has.
+func (s *Server) newRequest(w http.ResponseWriter, r *http.Request) request {
+	q := request{receivedHeader: r.Header, id: s.requestID(r.Header), start: s.now(), permit: noopPermit()}
+	q.Request = r.WithContext(s.events.OnStart(r.Context(), r.Header))
+	w.Header().Set(s.Dialect.RequestIDHeader, q.id)
+	return q
+}
+
+// refuseForRoom refuses a request on a connection for which there is no room.
+func (s *Server) refuseForRoom(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	s.refuse(w, s.newRequest(w, r), answer.NewNotExecuted(answer.CodeBusy, "the node has no room for more connections").WithRetryAfter(noRoomRetryAfter))
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := request{Request: r, receivedHeader: r.Header, id: s.requestID(r.Header), start: s.now(), permit: noopPermit()}
-	q.Request = r.WithContext(s.events.OnStart(r.Context(), r.Header))
-	w.Header().Set(s.Dialect.RequestIDHeader, q.id)
-	q, err := s.admit(q)
+	q, err := s.admit(s.newRequest(w, r))
 	if err != nil {
 		s.refuse(w, q, err)
 		return
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -46,6 +46,8 @@
 	OnEnd func(ctx context.Context, r Result)
 	// OnRetry is called after a failed attempt if another one is to follow; it is not called for hedges.
 	OnRetry func(route string)
+	// OnNoRoom is called when there is no room for a new connection, with what happens instead of serving it beside the others.
+	OnNoRoom func(action RoomAction)
 }
 
 // Result describes how a request ended and how long its stages took.
@@ -101,9 +103,10 @@
 	closeOnce sync.Once
 	handlers  sync.WaitGroup
 
+	conns *connTable
+
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[*conn]bool
 }
 
 // Permit is the permission to forward one request, taken from the tokens of an account.
@@ -132,7 +135,7 @@
 		Dialect: answer.DefaultDialect(), LocalService: func() string { return "" },
 		Throttle: func(_ context.Context, res *http.Response) *http.Response { return res },
 		now:      now, tree: tree, acquire: acquire, dispatch: dispatch, events: events, errorLog: errorLog,
-		closing: make(chan struct{}), conns: map[*conn]bool{},
+		closing: make(chan struct{}), conns: newConnTable(),
 	}
 	s.http2 = newHTTP2Server(http.HandlerFunc(s.serve), errorLog)
 	return s
@@ -177,24 +180,41 @@
 	}
 }
 
-// startConn serves a connection on its own goroutine, or closes it if the server has shut down.
+// startConn serves a connection on its own goroutine, or closes it if there is no room or the server has shut down.
 func (s *Server) startConn(raw net.Conn) {
 	c := newConn(s, raw)
+	if yielding := s.addConn(c); yielding != nil {
+		yielding.yield()
+	}
+}
+
+// addConn starts a connection and returns the one that gives way to it, if any.
+func (s *Server) addConn(c *conn) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isClosed() {
-		_ = raw.Close()
-		return
+		_ = c.raw.Close()
+		return nil
 	}
-	s.conns[c] = true
+	action, yielding := s.conns.add(s.now(), c)
+	if action != RoomServe {
+		s.events.OnNoRoom(action)
+	}
+	if action == RoomClose {
+		_ = c.raw.Close()
+		return nil
+	}
+	c.refusing = action == RoomRefuse
 	s.handlers.Go(func() {
 		c.serve()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
+		s.conns.remove(c)
 	})
+	return yielding
 }
 
+// SetMaxConns sets how many connections may be open, zero for any number.
+func (s *Server) SetMaxConns(n int) { s.conns.setMax(n) }
+
 // idleWait returns how long a connection may wait for a request.
 func (s *Server) idleWait() time.Duration { return orDefault(s.limits().IdleTimeout, idleTimeout) }
 
@@ -252,7 +272,7 @@
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
-	for c := range s.conns {
+	for _, c := range s.conns.all() {
 		c.close(force)
 	}
 }
--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -12,10 +12,11 @@
 	"verbenapin.dev/node/otlp"
 	"verbenapin.dev/node/peer"
 	"verbenapin.dev/node/target"
+	"verbenapin.dev/node/tcp"
 )
 
 func (n *Node) callerEvents() caller.Events {
-	return caller.Events{OnStart: n.onRequestStart, OnEnd: n.onRequestEnd, OnRetry: n.metrics.CountRetry}
+	return caller.Events{OnStart: n.onRequestStart, OnEnd: n.onRequestEnd, OnRetry: n.metrics.CountRetry, OnNoRoom: n.onNoRoom}
 }
 
 // onRequestEnd ends the span of a request, counts it and logs its outcome.
@@ -41,6 +42,13 @@
 	n.logRequest(r)
 }
 
+// onNoRoom counts and logs a new connection of a caller for which there is no room.
+func (n *Node) onNoRoom(action caller.RoomAction) {
+	n.metrics.CountNoRoom(string(action))
+	n.journal.WarnRecurring("there is no room for a new connection of a caller", journal.Choice(string(action)),
+		journal.Count(n.budget.Max(tcp.KindCaller)), journal.Connections(n.openConns()))
+}
+
 // logRequest logs the outcome of a request at its entry node.
 func (n *Node) logRequest(r caller.Result) {
 	fields := []journal.Field{
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -43,6 +43,7 @@
 	n.callerServer = caller.NewServer(n.clock.Now, n.store.ServingTree, acquire,
 		caller.Dispatch{Send: n.sendAttempt, AllowRetry: n.dispatcher.AllowRetry, SelectService: n.dispatcher.SelectService}, n.callerEvents(), n.journal.StdLogger("caller"))
 	n.callerServer.Throttle = n.link.Throttle
+	n.callerServer.SetMaxConns(n.budget.Max(tcp.KindCaller))
 	if n.peerServer != nil {
 		n.peerServer.Throttle = n.link.Throttle
 	}
--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -94,6 +94,9 @@
 // Hedge states whether an attempt is a hedge, which is sent while the previous one is still running.
 func Hedge(hedged bool) Field { return Field{name: "hedge", value: hedged} }
 
+// Choice is what was decided.
+func Choice(what string) Field { return Field{name: "choice", value: what} }
+
 // ChoiceReason is why a target was chosen.
 func ChoiceReason(reason string) Field { return Field{name: "chosen", value: reason} }
 
--- a/node/operator/metrics.go
+++ b/node/operator/metrics.go
@@ -51,6 +51,7 @@
 		"retried":  {help: "Attempts after the first one, by route.", labels: []string{"route"}},
 		"hedged":   {help: "Hedged attempts, by route.", labels: []string{"route"}},
 		"broken":   {help: "Responses that did not reach the caller completely, by route and the side that broke off.", labels: []string{"route", "side"}},
+		"crowded":  {help: "New connections of callers without room, by what happened instead: the longest idle connection or the oldest incomplete head was closed, the request was refused, or the new connection was closed.", labels: []string{"choice"}},
 		"probes":   {help: "Probes sent to the target, by result.", labels: []string{"result"}},
 	}
 	gaugeDescriptions = map[string]description{
@@ -163,6 +164,9 @@
 // CountAborted counts a response that did not reach the caller completely; side is the one that aborted it.
 func (m *Metrics) CountAborted(route, side string) { m.count("broken", route, side, "") }
 
+// CountNoRoom counts a new connection of a caller for which there was no room.
+func (m *Metrics) CountNoRoom(choice string) { m.count("crowded", choice, "", "") }
+
 // CountProbe counts a probe of the target by its result.
 func (m *Metrics) CountProbe(result string) { m.count("probes", result, "", "") }
 
--- a/node/operator/metrics_test.go
+++ b/node/operator/metrics_test.go
@@ -42,7 +42,9 @@
 			m.CountHedge("history")
 			m.CountHedge("history")
 			m.CountProbe("lost")
+			m.CountNoRoom("idle")
 		}, want: []string{
+			`verbenapin_crowded{choice="idle"} 1`,
 			`verbenapin_retried{route="history"} 1`, `verbenapin_hedged{route="history"} 2`, `verbenapin_probes{result="lost"} 1`,
 		}},
 		"wait": {event: func(m *Metrics) { m.ObserveStage(StageQueue, 600*time.Microsecond) }, want: []string{
