daemon, peer: bound the connections between nodes, of operators and of readiness checks

Change: each kind has its part of the budget. Connections to other nodes: half of them may be idle, and beyond the bound an attempt is refused as not run, which says nothing about its target. Connections of other nodes: from three quarters of the bound each response asks to close, which cannot cross a request as closing an idle connection could; beyond it, they wait. Control connections stay bounded by the fleet: they are counted only.

--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -68,7 +68,7 @@
 
 // dialControl returns the function that opens control connections.
 func (n *Node) dialControl() tcp.Dial {
-	return n.conns.Dial(tcp.KindControl, (&net.Dialer{}).DialContext)
+	return n.conns.Dial(tcp.KindControl, 0, (&net.Dialer{}).DialContext)
 }
 
 // newControlServer returns the gRPC server for heartbeats, configuration versions, leases and registry updates.
--- a/node/daemon/listen.go
+++ b/node/daemon/listen.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"syscall"
 
+	"golang.org/x/net/netutil"
+
 	"verbenapin.dev/node/tcp"
 )
 
@@ -34,7 +36,7 @@
 		if err != nil {
 			return UnusableError{Flag: l.flag, Err: err, Remedy: listenRemedy(err)}
 		}
-		*l.dst = tcp.NewListener(listener, l.kind, n.conns, n.clock, n.onAcceptError)
+		*l.dst = n.boundListener(l.kind, tcp.NewListener(listener, l.kind, n.conns, n.clock, n.onAcceptError))
 	}
 	if n.settings.UsesRegistry {
 		// Load reports use the same port as requests between nodes, so that one address identifies a node.
@@ -47,6 +49,17 @@
 	return nil
 }
 
+// boundListener returns l with at most the budgeted number of connections; others wait until one is closed. The server of callers
+// bounds its connections itself, since it knows which may be closed, and the fleet bounds those of control messages.
+func (n *Node) boundListener(k tcp.Kind, l net.Listener) net.Listener {
+	switch k {
+	case tcp.KindPeer, tcp.KindAdmin, tcp.KindReady:
+		return netutil.LimitListener(l, n.budget.Max(k))
+	default:
+		return l
+	}
+}
+
 func listenRemedy(err error) string {
 	switch {
 	case errors.Is(err, syscall.EADDRINUSE):
--- a/node/daemon/ready.go
+++ b/node/daemon/ready.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// readyTimeout bounds reading a request head and writing the answer; an answer waits for nothing else.
+// readyTimeout bounds reading a request head, writing the answer, which waits for nothing else, and waiting for the next request.
 const readyTimeout = 5 * time.Second
 
 // defaultReadyPath is the path of the readiness listener without a platform.
@@ -24,7 +24,7 @@
 		}
 	})
 	return &readinessServer{http: &http.Server{
-		Handler: handler, ReadHeaderTimeout: readyTimeout, WriteTimeout: readyTimeout,
+		Handler: handler, ReadHeaderTimeout: readyTimeout, WriteTimeout: readyTimeout, IdleTimeout: readyTimeout,
 	}}
 }
 
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -14,21 +14,26 @@
 	"verbenapin.dev/node/tcp"
 )
 
-// maxTargetConns bounds the connections to the target: the limit in the specification of the first targets.
-const maxTargetConns = 260
+// crowdedShare is the share of the connections of other nodes from which a response asks the sender to close its connection. Nodes
+// keep idle connections to each other, whose number grows with the fleet.
+const crowdedShare = 0.75
 
 // assembleTraffic assembles the request path: caller server, dispatcher, peer client and server, gate, target.
 func (n *Node) assembleTraffic() {
 	s := n.settings
-	n.transport = target.NewTransport(s.Target, maxTargetConns)
-	n.transport.Dial = n.conns.Dial(tcp.KindTarget, n.transport.Dial)
+	n.transport = target.NewTransport(s.Target, n.budget.Max(tcp.KindTarget))
+	n.transport.Dial = n.conns.Dial(tcp.KindTarget, 0, n.transport.Dial)
 	n.admission = target.NewAdmission(n.loop, n.clock, n.policy.Admit, n.probeBudget, n.probe)
 	n.forwarder = target.NewForwarder(n.clock.Now, n.store.ServingTree, n.admission.Admit, n.admission.Load, n.roundTrip)
 	if !s.Standalone() {
 		n.pool = rpc.NewPool(controlDialOptions(n.identity, n.dialControl())...)
 		n.client = peer.NewClient(n.clock.Now, n.peerClientTLS(), n.peerAddr)
-		n.client.Dial = n.conns.Dial(tcp.KindHop, n.client.Dial)
+		n.client.Dial = n.conns.Dial(tcp.KindHop, n.budget.Max(tcp.KindHop), n.client.Dial)
+		n.client.SetMaxIdle(n.budget.Max(tcp.KindHop) / 2)
 		n.peerServer = peer.NewServer(n.clock.Now, n.peerServerTLS(), n.serveAttempt, n.admission.Load, n.journal.StdLogger("peer"))
+		n.peerServer.Crowded = func() bool {
+			return float64(n.conns.Open(tcp.KindPeer)) >= crowdedShare*float64(n.budget.Max(tcp.KindPeer))
+		}
 		n.controlServer = n.newControlServer()
 	}
 	n.dispatcher = peer.NewDispatcher(
--- a/node/operator/server.go
+++ b/node/operator/server.go
@@ -20,6 +20,8 @@
 const (
 	// healthTimeout is longer than any event of the control loop takes; a node that exceeds it needs a restart.
 	healthTimeout = time.Second
+	// idleTimeout is short, since the listener has few connections.
+	idleTimeout = 10 * time.Second
 	// closeTimeout bounds the wait for running requests, because a profile may take minutes.
 	closeTimeout = 2 * time.Second
 )
@@ -64,7 +66,7 @@
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
-	s.http = &http.Server{Handler: mux, ErrorLog: options.ErrorLog, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	s.http = &http.Server{Handler: mux, ErrorLog: options.ErrorLog, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: idleTimeout}
 	return s
 }
 
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -23,7 +23,9 @@
 	idleTimeout = 90 * time.Second
 	// continueTimeout exceeds the longest wait in a gate's queue, so that a body is sent only after admission.
 	continueTimeout = time.Second
-	maxIdleConns    = 32
+	maxIdleConns    = 32 // to one node
+	// noRoomRetryAfter is the retry delay of a request for which there is no connection; most requests end within it.
+	noRoomRetryAfter = 500 * time.Millisecond
 	// bufferSize holds the head of an ordinary request or response; large body reads and writes bypass the buffer. A node has
 	// a connection for each concurrent request, and buffers of 16 KB used a tenth of its memory.
 	bufferSize     = 4 << 10
@@ -86,6 +88,9 @@
 	return c
 }
 
+// SetMaxIdle sets how many connections without a request may stay open, to all nodes together; it must be called before Do.
+func (c *Client) SetMaxIdle(n int) { c.http.MaxIdleConns = n }
+
 // Do sends one attempt to the node with the given name; it may change the headers of the request. Its error is an
 // answer.Refusal.
 func (c *Client) Do(name string, call target.Call) (target.Reply, error) {
@@ -108,11 +113,26 @@
 		if cause := context.Cause(call.Request.Context()); cause != nil {
 			err = cause
 		}
+		var full tcp.FullError
+		if errors.As(err, &full) {
+			return target.Reply{}, NoRoomError{Err: full}
+		}
 		return target.Reply{}, refusalFor(err, connected.Load())
 	}
 	return decodeReply(res)
 }
 
+// NoRoomError reports an attempt that was not sent, because this node has no room for another connection. It says nothing about the
+// target.
+type NoRoomError struct{ Err error }
+
+func (e NoRoomError) Error() string { return "peer: no room for a connection: " + e.Err.Error() }
+
+// Unwrap returns the refusal of the attempt.
+func (e NoRoomError) Unwrap() error {
+	return answer.NewNotExecuted(answer.CodeBusy, "the node has no room for more connections to other nodes").WithRetryAfter(noRoomRetryAfter)
+}
+
 // refusalFor returns a refusal that states whether a failed attempt may have run: without a connection no byte was sent.
 func refusalFor(err error, connected bool) answer.Refusal {
 	// The texts leave out err, since callers must not see addresses inside the fleet.
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -287,11 +287,12 @@
 			d.hedges[a.call.Route] = h.WithLatency(took)
 		}
 		var refused answer.Refusal
+		var noRoom NoRoomError
 		switch {
 		case err == nil:
 			d.table = d.table.WithResponse(now, a.name, reply.Load, max(0, took-reply.NodeTime))
 			return
-		case cancelled:
+		case cancelled, errors.As(err, &noRoom):
 		case errors.As(err, &refused) && reply.HasLoad:
 			d.table = d.table.WithRefusal(now, a.name, refused, reply.Load)
 		default: // no answer, not even a refusal after the deadline, so the node may be paused or unreachable
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -17,6 +17,8 @@
 
 const (
 	headerTimeout = 5 * time.Second
+	// serverIdleTimeout exceeds the idle timeout of clients, so that they close first and no request crosses the end of its connection.
+	serverIdleTimeout = 2 * idleTimeout
 )
 
 // Server accepts the requests of other nodes and hands them to the gate of this node's target.
@@ -25,6 +27,8 @@
 	Dialect answer.Dialect
 	// OnRequest is called with the name of the node that sent a request, if the request holds it.
 	OnRequest func(node string)
+	// Crowded reports whether so many connections are open that each should end with its response; it must not change after Serve.
+	Crowded func() bool
 	// Throttle limits the body of a response to the bandwidth of the instance's link; it must not change after Serve.
 	Throttle func(ctx context.Context, res *http.Response) *http.Response
 
@@ -40,7 +44,7 @@
 	now func() time.Time, cfg *tls.Config, handle func(target.Call) (target.Reply, error), currentLoad func() target.Load, errorLog *log.Logger,
 ) *Server {
 	s := &Server{
-		Dialect: answer.DefaultDialect(), OnRequest: func(string) {}, now: now, handle: handle, currentLoad: currentLoad,
+		Dialect: answer.DefaultDialect(), OnRequest: func(string) {}, Crowded: func() bool { return false }, now: now, handle: handle, currentLoad: currentLoad,
 		Throttle: func(_ context.Context, res *http.Response) *http.Response { return res },
 	}
 	protocols := new(http.Protocols)
@@ -51,6 +55,7 @@
 		Protocols:         protocols,
 		ErrorLog:          errorLog,
 		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       serverIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return s
@@ -81,6 +86,10 @@
 	if from := r.Header.Get(answer.HeaderSender); from != "" {
 		s.OnRequest(from)
 	}
+	if s.Crowded() {
+		// Closing an idle connection instead could cut off a request that its sender has just begun.
+		w.Header().Set("Connection", "close")
+	}
 	call, err := decodeCall(r, started)
 	if err != nil {
 		s.refuse(w, answer.NewNotExecuted(answer.CodePath, err.Error()), 0)
--- a/node/tcp/listener.go
+++ b/node/tcp/listener.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -46,18 +47,17 @@
 // Open returns the number of open connections of a kind.
 func (c *Counts) Open(k Kind) int { return int(c.open[k].Load()) }
 
-// track counts a connection until it is closed.
-func (c *Counts) track(k Kind, raw net.Conn) net.Conn {
-	c.open[k].Add(1)
-	return &countedConn{Conn: raw, onClose: sync.OnceFunc(func() { c.open[k].Add(-1) })}
-}
-
 // countedConn is a connection that is counted until it is closed.
 type countedConn struct {
 	net.Conn
 	onClose func()
 }
 
+// newCountedConn returns a connection that is counted in open already.
+func newCountedConn(raw net.Conn, open *atomic.Int64) net.Conn {
+	return &countedConn{Conn: raw, onClose: sync.OnceFunc(func() { open.Add(-1) })}
+}
+
 // Close closes the connection.
 func (c *countedConn) Close() error {
 	defer c.onClose()
@@ -67,14 +67,30 @@
 // Dial opens a connection, as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Dial returns dial with its connections counted.
-func (c *Counts) Dial(k Kind, dial Dial) Dial {
+// FullError reports a connection that is not opened, because as many of its kind are open as may be.
+type FullError struct {
+	Kind Kind
+	Max  int
+}
+
+func (e FullError) Error() string {
+	return fmt.Sprintf("tcp: %d connections of kind %s are open", e.Max, e.Kind)
+}
+
+// Dial returns dial with its connections counted. Beyond limit, zero for none, it returns a FullError.
+func (c *Counts) Dial(k Kind, limit int, dial Dial) Dial {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		open := c.open[k]
+		if n := open.Add(1); limit > 0 && n > int64(limit) {
+			open.Add(-1)
+			return nil, FullError{Kind: k, Max: limit}
+		}
 		raw, err := dial(ctx, network, addr)
 		if err != nil {
+			open.Add(-1)
 			return nil, err
 		}
-		return c.track(k, raw), nil
+		return newCountedConn(raw, open), nil
 	}
 }
 
@@ -109,7 +125,9 @@
 		raw, err := l.Listener.Accept()
 		switch {
 		case err == nil:
-			return l.counts.track(l.kind, raw), nil
+			open := l.counts.open[l.kind]
+			open.Add(1)
+			return newCountedConn(raw, open), nil
 		case errors.Is(err, net.ErrClosed), l.isClosed():
 			return nil, net.ErrClosed
 		}
--- a/node/tcp/listener_test.go
+++ b/node/tcp/listener_test.go
@@ -1,6 +1,7 @@
 package tcp
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -114,3 +115,29 @@
 	require.NoError(t, l.Close())
 	require.ErrorIs(t, <-accepted, net.ErrClosed)
 }
+
+// TestDialBound guards against connections beyond the bound, and against a bound that a failed or closed connection uses up.
+func TestDialBound(t *testing.T) {
+	counts := NewCounts()
+	var dialErr error
+	dial := counts.Dial(KindHop, 2, func(context.Context, string, string) (net.Conn, error) {
+		c, _ := net.Pipe()
+		return c, dialErr
+	})
+	open := func() (net.Conn, error) { return dial(t.Context(), "tcp", "10.0.0.1:80") }
+	dialErr = syscall.ECONNREFUSED
+	for range 3 {
+		_, err := open()
+		require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	}
+	dialErr = nil
+	first, err := open()
+	require.NoError(t, err)
+	_, err = open()
+	require.NoError(t, err)
+	_, err = open()
+	require.ErrorIs(t, err, FullError{Kind: KindHop, Max: 2})
+	require.NoError(t, first.Close())
+	_, err = open()
+	require.NoError(t, err)
+}
