daemon: not ready while connections of callers cannot be accepted

The readiness address answered from the configuration alone, so that a node said ready whatever its listener for callers did. After a second in which each accept failed it says that it is not.

--- a/node/daemon/listen.go
+++ b/node/daemon/listen.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"golang.org/x/net/netutil"
 
@@ -14,6 +15,8 @@
 type listeners struct {
 	caller, peer, control, admin, ready net.Listener
 	loadReports                         *net.UDPConn
+
+	callerFailure func() time.Duration // for how long no connection of a caller could be accepted
 }
 
 func (n *Node) listen() error {
@@ -36,7 +39,11 @@
 		if err != nil {
 			return UnusableError{Flag: l.flag, Err: err, Remedy: listenRemedy(err)}
 		}
-		*l.dst = n.boundListener(l.kind, tcp.NewListener(listener, l.kind, n.conns, n.clock, n.onAcceptError))
+		accepting := tcp.NewListener(listener, l.kind, n.conns, n.clock, n.onAcceptError)
+		if l.kind == tcp.KindCaller {
+			n.listeners.callerFailure = accepting.FailingFor
+		}
+		*l.dst = n.boundListener(l.kind, accepting)
 	}
 	if n.settings.UsesRegistry {
 		// Load reports use the same port as requests between nodes, so that one address identifies a node.
--- a/node/daemon/state.go
+++ b/node/daemon/state.go
@@ -17,6 +17,10 @@
 	stateUnreachable = "unreachable"
 )
 
+// maxCallerFailure is for how long accepting connections of callers may fail until the node is not ready. Callers wait a second for a
+// connection.
+const maxCallerFailure = time.Second
+
 // health checks that the control goroutine responds.
 func (n *Node) health(ctx context.Context) error {
 	return n.loop.Call(ctx, func(time.Time) {})
@@ -27,6 +31,9 @@
 	if n.isLeaving() {
 		return false, "the node is leaving"
 	}
+	if n.listeners.callerFailure() >= maxCallerFailure {
+		return false, "connections of callers cannot be accepted"
+	}
 	if v := n.store.ServeStatus(); v.Code != config.StatusServe {
 		return false, v.Reason
 	}
--- a/node/tcp/listener.go
+++ b/node/tcp/listener.go
@@ -112,6 +112,9 @@
 	onError   func(k Kind, err error)
 	closing   chan struct{}
 	closeOnce sync.Once
+
+	mu       sync.Mutex
+	failures failures
 }
 
 // NewListener returns a listener of connections of a kind. onError takes the cause if a connection could not be accepted.
@@ -125,17 +128,53 @@
 		raw, err := l.Listener.Accept()
 		switch {
 		case err == nil:
+			l.recordFailures(failures{})
 			open := l.counts.open[l.kind]
 			open.Add(1)
 			return newCountedConn(raw, open), nil
 		case errors.Is(err, net.ErrClosed), l.isClosed():
 			return nil, net.ErrClosed
 		}
+		l.recordFailures(l.failures.withFailure(l.clock.Now()))
 		l.onError(l.kind, err)
 		l.wait(delay)
 	}
 }
 
+// failures is a series of failed accepts; it is immutable.
+type failures struct{ first, last time.Time }
+
+// withFailure returns the series with another failure; one that comes after a pause, in which no connection waited, begins a new
+// series.
+func (f failures) withFailure(now time.Time) failures {
+	if f.lasted(now) == 0 {
+		f.first = now
+	}
+	f.last = now
+	return f
+}
+
+// lasted returns for how long accepting has failed, zero if it does not fail now.
+func (f failures) lasted(now time.Time) time.Duration {
+	if f.last.IsZero() || now.Sub(f.last) > 3*maxAcceptDelay {
+		return 0
+	}
+	return now.Sub(f.first)
+}
+
+func (l *Listener) recordFailures(f failures) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = f
+}
+
+// FailingFor returns for how long no connection could be accepted, zero if the last one was accepted or none has waited since.
+func (l *Listener) FailingFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failures.lasted(l.clock.Now())
+}
+
 // wait returns after the given time or when the listener is closed.
 func (l *Listener) wait(d time.Duration) {
 	passed := make(chan struct{})
--- a/node/tcp/listener_test.go
+++ b/node/tcp/listener_test.go
@@ -141,3 +141,30 @@
 	_, err = open()
 	require.NoError(t, err)
 }
+
+// TestFailingFor guards against a node that says it is ready while it accepts no connection, and against one that is not ready for
+// a failure that is over.
+func TestFailingFor(t *testing.T) {
+	const ms = time.Millisecond
+	cases := map[string]struct {
+		failures []time.Duration // since the start
+		now      time.Duration
+		want     time.Duration
+	}{
+		"none":              {now: time.Second},
+		"first":             {failures: []time.Duration{0}},
+		"for a while":       {failures: []time.Duration{0, 100 * ms, 200 * ms, 300 * ms}, now: 310 * ms, want: 310 * ms},
+		"over":              {failures: []time.Duration{0, 100 * ms}, now: 500 * ms},
+		"again after a gap": {failures: []time.Duration{0, 100 * ms, 5000 * ms, 5100 * ms}, now: 5200 * ms, want: 200 * ms},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			var f failures
+			for _, at := range tc.failures {
+				f = f.withFailure(start.Add(at))
+			}
+			require.Equal(t, tc.want, f.lasted(start.Add(tc.now)))
+		})
+	}
+}
