caller: a graceful shutdown lets HTTP/2 requests end

Seen in a test that was written while the states of connections were gone through: a caller with HTTP/2 gets GOAWAY and the end of its connection instead of the response to a request that runs when the node stops.

Cause: the shutdown wakes the reading goroutine of each connection without pending requests by a read deadline; an HTTP/2 connection never has any, and net/http reads from it. Shutdown of its server, which is called next, ends it gracefully.

TestHTTP2Shutdown fails before and passes after; five runs of all tests of caller pass with the race detector.

--- a/node/caller/conn.go
+++ b/node/caller/conn.go
@@ -405,7 +405,8 @@
 		_ = c.raw.Close()
 		return
 	}
-	if c.pending == 0 {
+	// An HTTP/2 connection is closed by the shutdown of its own server, once its streams have ended.
+	if c.pending == 0 && !c.http2 {
 		_ = c.raw.SetReadDeadline(time.Now())
 	}
 }
--- a/node/caller/conn_test.go
+++ b/node/caller/conn_test.go
@@ -358,3 +358,42 @@
 		require.Equal(t, "/x", string(body))
 	}
 }
+
+// TestHTTP2Shutdown guards against a graceful shutdown that cuts off the requests of HTTP/2 connections.
+func TestHTTP2Shutdown(t *testing.T) {
+	running, finish := make(chan struct{}), make(chan struct{})
+	s := newTestServer(t, config.CallerLimits{}, func(r *http.Request) (*http.Response, error) {
+		close(running)
+		select {
+		case <-finish:
+			return text("done")
+		case <-r.Context().Done():
+			return nil, answer.NewMaybeExecuted(answer.CodeLost, "cancelled")
+		}
+	})
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	got := make(chan string, 1)
+	go func() {
+		r, _ := http.NewRequest(http.MethodGet, "http://"+s.addr+"/x", nil)
+		r.Host = "app.example"
+		res, err := transport.RoundTrip(r)
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		body, _ := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		got <- string(body)
+	}()
+	<-running
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	require.Eventually(t, func() bool { return s.isClosed() }, 5*time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond) // for a cancellation to arrive
+	close(finish)
+	require.Equal(t, "done", <-got)
+	require.NoError(t, <-ended)
+}
