caller: bound the connections that give way

Seen in a reading of the bound on callers' connections: one that gives way holds its descriptor until its goroutine has run, which takes long while the processor is busy, and was not counted meanwhile, so that the number of descriptors had no bound under load.

Now a quarter of the bound is a reserve: an eighth for connections on which requests are only refused, as before, and an eighth for those that give way. Once that is used up, new connections are closed. Ruled out: counting those that give way with the others.

TestRoom/many_are_giving_way fails without the bound.

--- a/node/caller/room.go
+++ b/node/caller/room.go
@@ -13,9 +13,9 @@
 	// minPartialHead is how long a head has been incomplete before its connection may be closed for another one; the head of an
 	// ordinary request arrives in one packet.
 	minPartialHead = time.Second
-	// refusalShare is the part of the connections, one in so many, on which requests are only refused, so that callers learn at once
-	// that there is no room.
-	refusalShare = 8
+	// reserveShare is the part of the connections, one in so many, on which requests are only refused, so that callers learn at once
+	// that there is no room. As many may be giving way, which hold their descriptors until their goroutines have run.
+	reserveShare = 8
 	// noRoomRetryAfter is the retry delay of a caller for whose connection there is no room. Most requests end within it.
 	noRoomRetryAfter = time.Second
 )
@@ -43,7 +43,8 @@
 
 // Room is the state of a server's connections on which the decision about a new one depends; it is immutable.
 type Room struct {
-	Open        int           // connections
+	Open        int           // connections, without those that are giving way
+	Closing     int           // connections that are giving way
 	Max         int           // connections that may be open, zero for any number
 	IdleFor     time.Duration // of the connection that has been idle for longest, zero if none is
 	PartialHead time.Duration // time since the start of the oldest incomplete head, zero if there is none
@@ -52,15 +53,17 @@
 // Decide returns what happens to a new connection. Callers keep connections open between requests, and some never send a whole
 // head; these give way first, since their callers can connect again. Connections with requests are never closed.
 func (r Room) Decide() RoomAction {
-	served := max(r.Max-r.Max/refusalShare, 1)
+	reserve := max(r.Max/reserveShare, 1)
 	switch {
-	case r.Max == 0 || r.Open < served:
+	case r.Max == 0 || r.Open < max(r.Max-2*reserve, 1):
 		return RoomServe
+	case r.Closing >= reserve:
+		return RoomClose
 	case r.IdleFor >= minIdle:
 		return RoomCloseIdle
 	case r.PartialHead >= minPartialHead:
 		return RoomCloseHead
-	case r.Open < r.Max:
+	case r.Open < r.Max-reserve:
 		return RoomRefuse
 	default:
 		return RoomClose
@@ -74,7 +77,7 @@
 	conns map[*conn]*list.Element // nil for busy connections and those that are giving way
 	idle  *list.List              // of *waitingConn, the longest idle first
 	heads *list.List              // of *waitingConn, the oldest head first
-	gone  map[*conn]bool          // connections that are giving way and are no longer counted
+	gone  map[*conn]bool          // connections that are giving way
 }
 
 // waitingConn is a connection that is idle or has an incomplete head since the given time.
@@ -98,7 +101,7 @@
 func (t *connTable) add(now time.Time, c *conn) (RoomAction, *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := Room{Open: len(t.conns) - len(t.gone), Max: t.max, IdleFor: oldest(now, t.idle), PartialHead: oldest(now, t.heads)}
+	r := Room{Open: len(t.conns) - len(t.gone), Closing: len(t.gone), Max: t.max, IdleFor: oldest(now, t.idle), PartialHead: oldest(now, t.heads)}
 	action := r.Decide()
 	var victim *conn
 	switch action {
--- a/node/caller/room_test.go
+++ b/node/caller/room_test.go
@@ -23,13 +23,16 @@
 		want RoomAction
 	}{
 		"any number":                    {room: Room{Open: 1_000_000}, want: RoomServe},
-		"room":                          {room: Room{Open: 69, Max: 80, IdleFor: time.Hour}, want: RoomServe},
-		"an idle one":                   {room: Room{Open: 70, Max: 80, IdleFor: minIdle, PartialHead: time.Hour}, want: RoomCloseIdle},
-		"an incomplete head":            {room: Room{Open: 70, Max: 80, IdleFor: minIdle - ms, PartialHead: minPartialHead}, want: RoomCloseHead},
-		"all are new or busy":           {room: Room{Open: 70, Max: 80, IdleFor: minIdle - ms, PartialHead: minPartialHead - ms}, want: RoomRefuse},
-		"no room for refusals":          {room: Room{Open: 80, Max: 80}, want: RoomClose},
-		"no room for refusals, an idle": {room: Room{Open: 80, Max: 80, IdleFor: time.Second}, want: RoomCloseIdle},
+		"room":                          {room: Room{Open: 59, Max: 80, IdleFor: time.Hour}, want: RoomServe},
+		"an idle one":                   {room: Room{Open: 60, Max: 80, IdleFor: minIdle, PartialHead: time.Hour}, want: RoomCloseIdle},
+		"an incomplete head":            {room: Room{Open: 60, Max: 80, IdleFor: minIdle - ms, PartialHead: minPartialHead}, want: RoomCloseHead},
+		"all are new or busy":           {room: Room{Open: 60, Max: 80, IdleFor: minIdle - ms, PartialHead: minPartialHead - ms}, want: RoomRefuse},
+		"no room for refusals":          {room: Room{Open: 70, Max: 80}, want: RoomClose},
+		"no room for refusals, an idle": {room: Room{Open: 70, Max: 80, IdleFor: time.Second}, want: RoomCloseIdle},
+		"some are giving way":           {room: Room{Open: 70, Closing: 9, Max: 80, IdleFor: time.Second}, want: RoomCloseIdle},
+		"many are giving way":           {room: Room{Open: 70, Closing: 10, Max: 80, IdleFor: time.Second}, want: RoomClose},
 		"a single connection":           {room: Room{Open: 1, Max: 1}, want: RoomClose},
+		"a single connection, idle":     {room: Room{Open: 1, Max: 1, IdleFor: time.Second}, want: RoomCloseIdle},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, tc.room.Decide()) })
@@ -99,7 +102,7 @@
 	})
 	s.SetMaxConns(8)
 	var busy []*bufio.Reader
-	for range 7 {
+	for range 6 {
 		c := s.dial()
 		_, _ = io.WriteString(c, get("/"))
 		busy = append(busy, bufio.NewReader(c))
