target: keep to the rate that a target in need announces

No code read the header.

Cause: a gate knew only the slots of its target and, while that is cold, its cold rate. What a target asks for in its responses had no place in the gate's state, nor in what senders know.

Change: an Announcement, decoded by the dialect, belongs to the state of the gate that all requests for the target pass; a pacer starts requests at the announced rate, in bursts of one second's worth. It holds while responses repeat it, ends with a response to a request that does not (a second later at the earliest, since responses overtake each other), and with another start of the target. Senders see it in the same responses and pass it on with requests for 10 s, so that a gate which has just started keeps to it before the target's first response. The load report tells the concurrency that the rate allows (Little's law), so that senders do not take such a target for an idle one.

Not tried: using the half more that the rule lets pass; the target names what it takes.

--- a/node/answer/dialect.go
+++ b/node/answer/dialect.go
@@ -18,6 +18,8 @@
 	Slots         int           // requests that the target executes concurrently
 	Slowdown      float64       // current service time as a multiple of the usual one
 	ColdRemaining time.Duration // time until the target is warm
+	HasRateLimit  bool          // whether the target announces the rate below
+	RateLimit     float64       // requests per second that it takes from all senders together
 }
 
 // Dialect describes the headers and status codes that a node uses towards callers and targets. Header names are in canonical
--- a/node/answer/http.go
+++ b/node/answer/http.go
@@ -27,6 +27,7 @@
 	HeaderVersion          = Prefix + "Version" // configuration version of the sender
 	HeaderIdempotent       = Prefix + "Repeats" // set if the request may run more than once
 	HeaderMaxWait          = Prefix + "Spare"   // longest wait at the gate in milliseconds, after which the request goes to another target
+	HeaderAnnouncedRate    = Prefix + "Pace"    // requests per second that the target has announced to the sender
 	HeaderSender           = Prefix + "From"    // name of the node that sends the request
 	// HeaderNoBody marks a request without body, which could not be distinguished from an empty body of unknown length
 	// otherwise.
@@ -86,7 +87,7 @@
 // nodeHeaders lists the headers between nodes.
 var nodeHeaders = []string{
 	HeaderExecution, HeaderDeadline, HeaderLoad, HeaderNodeTime, HeaderQueueTime, HeaderAccount, HeaderRoute, HeaderKey,
-	HeaderTarget, HeaderSoftDeadline, HeaderLatencyObjective, HeaderPriority, HeaderVersion, HeaderIdempotent, HeaderMaxWait, HeaderSender, HeaderNoBody,
+	HeaderTarget, HeaderSoftDeadline, HeaderLatencyObjective, HeaderPriority, HeaderVersion, HeaderIdempotent, HeaderMaxWait, HeaderAnnouncedRate, HeaderSender, HeaderNoBody,
 }
 
 // StripNodeHeaders removes the headers between nodes and leaves others with Prefix, which a dialect may use.
--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -49,6 +49,13 @@
 		journal.Count(n.budget.Max(tcp.KindCaller)), journal.Connections(n.openConns()))
 }
 
+// onAnnounce logs what the target beside the node announces in its responses; it runs on the control goroutine.
+func (n *Node) onAnnounce(a target.Announcement) {
+	name, _ := n.admission.Target()
+	n.metrics.SetAnnouncedRate(a.Rate())
+	n.journal.InfoDecision("target announces a rate", journal.Instance(name), journal.Rate(a.Rate()))
+}
+
 // logRequest logs the outcome of a request at its entry node.
 func (n *Node) logRequest(r caller.Result) {
 	fields := []journal.Field{
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -266,6 +266,8 @@
 	n.callerServer.Dialect, n.callerServer.LocalService = d, func() string { return n.currentSettings().service }
 	n.forwarder.Dialect, n.peerServer.Dialect = d, d
 	n.forwarder.OnReport = n.admission.ApplyReport
+	n.dispatcher.Report = d.Report
+	n.admission.OnAnnounce = n.onAnnounce
 	n.dispatcher.AllowReroute, n.dispatcher.RetryAllowance = true, n.retryAllowance
 	n.dispatcher.RetriedShare = n.admission.RetriedShare
 	n.client.SenderName = n.settings.Name
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -104,7 +104,7 @@
 	var out []peer.Candidate
 	for _, inst := range view.ByService(service) {
 		if view.Status(now, inst.Name) != instance.StatusLeaving {
-			out = append(out, peer.Candidate{Name: inst.Name, Domain: inst.Domain, Node: inst.Node})
+			out = append(out, peer.Candidate{Name: inst.Name, Domain: inst.Domain, Node: inst.Node, StartedAt: inst.StartedAt})
 		}
 	}
 	return out
--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -109,6 +109,9 @@
 // TargetState is the state of a target in the platform's list.
 func TargetState(state string) Field { return Field{name: "state", value: state} }
 
+// Rate is a number of requests per second, zero for any number.
+func Rate(r float64) Field { return Field{name: "rate", value: r} }
+
 // GateLoad is the state of a gate when it decided on a request.
 func GateLoad(running, queued, limit int) Field {
 	return Field{name: "gate", value: gateLoad{Running: running, Queued: queued, Limit: limit}}
--- a/node/operator/metrics.go
+++ b/node/operator/metrics.go
@@ -63,6 +63,7 @@
 		"running": {help: "Requests running on the target."},
 		"queued":  {help: "Requests queued beside the target."},
 		"limit":   {help: "Concurrent requests that the target has capacity for."},
+		"pace":    {help: "Requests per second that the target announces to take, zero for any number."},
 		"probing": {help: "Share of the target's time used by probes, 0 to 1."},
 		"budget":  {help: "Share of the target's time that probes may use, 0 to 1."},
 	}
@@ -211,6 +212,9 @@
 	m.set("limit", "", float64(limit))
 }
 
+// SetAnnouncedRate sets the requests per second that the target announces to take, zero for any number.
+func (m *Metrics) SetAnnouncedRate(rate float64) { m.set("pace", "", rate) }
+
 // SetProbeRatio sets the fractions of the target's time that probes use and may use.
 func (m *Metrics) SetProbeRatio(used, budget float64) {
 	m.set("probing", "", used)
--- a/node/peer/call_headers.go
+++ b/node/peer/call_headers.go
@@ -31,6 +31,9 @@
 	if c.MaxWait >= 0 {
 		h.Set(answer.HeaderMaxWait, formatMilliseconds(c.MaxWait))
 	}
+	if c.AnnouncedRate > 0 {
+		h.Set(answer.HeaderAnnouncedRate, strconv.FormatFloat(c.AnnouncedRate, 'g', -1, 64))
+	}
 	h.Set(answer.HeaderDeadline, formatMilliseconds(c.Deadline.Sub(now)))
 	if !c.SoftDeadline.IsZero() {
 		h.Set(answer.HeaderSoftDeadline, formatMilliseconds(c.SoftDeadline.Sub(now)))
@@ -79,6 +82,11 @@
 	if err := decodeVersionAndPriority(h, &c); err != nil {
 		return target.Call{}, err
 	}
+	if text := h.Get(answer.HeaderAnnouncedRate); text != "" {
+		if c.AnnouncedRate, err = strconv.ParseFloat(text, 64); err != nil || !(c.AnnouncedRate > 0 && c.AnnouncedRate <= maxAnnouncedRate) {
+			return target.Call{}, HeaderError{Header: answer.HeaderAnnouncedRate, Value: text}
+		}
+	}
 	if c.Account != "" {
 		key, err := hex.DecodeString(h.Get(answer.HeaderKey))
 		if err != nil || len(key) != len(config.Digest{}) {
@@ -122,5 +130,8 @@
 	return nil
 }
 
+// maxAnnouncedRate bounds the rate that another node may send, in requests per second.
+const maxAnnouncedRate = 1e6
+
 // maxDeadlineMS bounds the times that another node may send, in milliseconds.
 const maxDeadlineMS = 24 * 3600 * 1000
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -54,6 +54,8 @@
 	// Nil disables it.
 	OnAttempt func(ctx context.Context, route string, h http.Header, a Attempt) (context.Context, func(target.Reply, error))
 
+	// Report returns what a target reports about itself in a response; it must not change after the first request.
+	Report func(h http.Header) answer.TargetReport
 	// AllowReroute sets MaxWait of attempts, beyond which the gate refuses a request so that it goes to another target; it must
 	// not change after the first request.
 	AllowReroute bool
@@ -95,6 +97,7 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		self: self, loop: l, rand: r, choose: choose, candidates: candidates, evacuated: evacuated,
+		Report:    func(http.Header) answer.TargetReport { return answer.TargetReport{} },
 		sendLocal: sendLocal, sendRemote: sendRemote, budgets: map[string]Budget{}, hedges: map[string]Hedge{}, splits: map[string]Split{},
 	}
 }
@@ -104,7 +107,7 @@
 // of the targets, none if there was none to choose; its error is an answer.Refusal.
 func (d *Dispatcher) Send(call target.Call, route config.Route, tried []string, newRequest func() *http.Request) ([]string, target.Reply, error) {
 	arrived := time.Now()
-	choice, node, hedgeDelay, err := d.prepareAttempt(call, route, tried)
+	choice, dest, hedgeDelay, err := d.prepareAttempt(call, route, tried)
 	timings := target.Timings{Reason: string(choice.Reason), ExpectedWait: choice.ExpectedWait, ChoiceTime: time.Since(arrived)}
 	if err != nil {
 		return nil, target.Reply{Timings: timings}, err
@@ -120,7 +123,8 @@
 	default:
 		call.MaxWait = choice.ExpectedWait + rerouteSlack
 	}
-	first := activeAttempt{name: choice.Instance, node: node, call: call, info: attempt, measured: route.HedgeRatio > 0 && len(tried) == 0}
+	call.AnnouncedRate = dest.announcedRate
+	first := activeAttempt{name: choice.Instance, node: dest.node, call: call, info: attempt, measured: route.HedgeRatio > 0 && len(tried) == 0}
 	var names []string
 	var reply target.Reply
 	if newRequest == nil || hedgeDelay == 0 || !d.registerHedged() {
@@ -133,12 +137,18 @@
 	return names, reply, err
 }
 
-// prepareAttempt chooses a target and counts the attempt as outstanding there. It also returns the target's node and the time
-// after which to send a hedge, zero for none.
-func (d *Dispatcher) prepareAttempt(call target.Call, route config.Route, tried []string) (Choice, string, time.Duration, error) {
+// destination is the node beside a chosen target, with the rate that the target has announced to this node recently, zero for none.
+type destination struct {
+	node          string
+	announcedRate float64
+}
+
+// prepareAttempt chooses a target and counts the attempt as outstanding there. It also returns the time after which to send a hedge,
+// zero for none.
+func (d *Dispatcher) prepareAttempt(call target.Call, route config.Route, tried []string) (Choice, destination, time.Duration, error) {
 	candidates, evacuated := d.candidatesFor(route), d.evacuated()
 	var choice Choice
-	var node string
+	var dest destination
 	var hedgeDelay time.Duration
 	found := false
 	err := d.loop.Call(context.WithoutCancel(call.Request.Context()), func(now time.Time) {
@@ -146,7 +156,7 @@
 		if !found {
 			return
 		}
-		node = d.recordSent(now, candidates, choice)
+		dest = d.recordSent(now, candidates, choice)
 		if len(tried) > 0 {
 			return
 		}
@@ -162,12 +172,12 @@
 		}
 	})
 	if err != nil {
-		return Choice{}, "", 0, answer.NewNotExecuted(answer.CodeBusy, fmt.Sprintf("target selection failed: %v", err))
+		return Choice{}, destination{}, 0, answer.NewNotExecuted(answer.CodeBusy, fmt.Sprintf("target selection failed: %v", err))
 	}
 	if !found {
-		return Choice{}, "", 0, noTargetRefusal(choice.Reason)
+		return Choice{}, destination{}, 0, noTargetRefusal(choice.Reason)
 	}
-	return choice, node, hedgeDelay, nil
+	return choice, dest, hedgeDelay, nil
 }
 
 // selectTarget returns the target of an attempt; it runs on the control goroutine.
@@ -203,15 +213,15 @@
 	d.table = d.table.WithListed(listed)
 }
 
-// recordSent counts an attempt as outstanding and returns the target's node; it runs on the control goroutine.
-func (d *Dispatcher) recordSent(now time.Time, candidates []Candidate, choice Choice) string {
+// recordSent counts an attempt as outstanding and returns its destination; it runs on the control goroutine.
+func (d *Dispatcher) recordSent(now time.Time, candidates []Candidate, choice Choice) destination {
 	node := choice.Instance
 	for _, c := range candidates {
 		if c.Name == choice.Instance {
 			d.table, node = d.table.WithSent(now, c), c.NodeName()
 		}
 	}
-	return node
+	return destination{node: node, announcedRate: d.table.AnnouncedRate(now, choice.Instance)}
 }
 
 func noTargetRefusal(reason Reason) answer.Refusal {
@@ -280,6 +290,10 @@
 // recordOutcome updates the target table and the latency histogram of the route with the outcome of an attempt.
 func (d *Dispatcher) recordOutcome(a activeAttempt, reply target.Reply, err error, took time.Duration) {
 	superseded := a.superseded()
+	var report answer.TargetReport
+	if err == nil {
+		report = d.Report(reply.Response.Header) // read here, since the header may change once the response is relayed
+	}
 	cancelled := superseded || a.call.Request.Context().Err() != nil
 	_ = d.loop.Post(context.Background(), func(now time.Time) {
 		// The time until a superseded attempt was cancelled is a lower bound of its latency; without it the p95 would fall.
@@ -290,7 +304,7 @@
 		var noRoom NoRoomError
 		switch {
 		case err == nil:
-			d.table = d.table.WithResponse(now, a.name, reply.Load, max(0, took-reply.NodeTime))
+			d.table = d.table.WithResponse(now, a.name, reply.Load, max(0, took-reply.NodeTime)).WithAnnouncement(now, a.name, report)
 			return
 		case cancelled, errors.As(err, &noRoom):
 		case errors.As(err, &refused) && reply.HasLoad:
--- a/node/peer/hedged_send.go
+++ b/node/peer/hedged_send.go
@@ -58,14 +58,14 @@
 		return []string{r.name}, r.reply, r.err
 	case <-timer.C:
 	}
-	choice, node, ok := d.prepareHedge(route, first.name)
+	choice, dest, ok := d.prepareHedge(route, first.name)
 	if !ok {
 		r := <-results
 		return []string{r.name}, r.reply, r.err
 	}
 	call := first.call
-	call.Request = newRequest()
-	second := activeAttempt{name: choice.Instance, node: node, call: call, info: Attempt{Number: first.info.Number + 1, Choice: choice, Hedge: true}}.withCancel()
+	call.Request, call.AnnouncedRate = newRequest(), dest.announcedRate
+	second := activeAttempt{name: choice.Instance, node: dest.node, call: call, info: Attempt{Number: first.info.Number + 1, Choice: choice, Hedge: true}}.withCancel()
 	d.startAttempt(second, results, ended)
 	names := []string{first.name, choice.Instance}
 	r := <-results
@@ -127,10 +127,10 @@
 
 // prepareHedge chooses the target of a second attempt and counts the attempt as outstanding, if the budget allows one. A
 // target at which the attempt would wait gets none, since it would delay the first attempts of other requests.
-func (d *Dispatcher) prepareHedge(route config.Route, first string) (Choice, string, bool) {
+func (d *Dispatcher) prepareHedge(route config.Route, first string) (Choice, destination, bool) {
 	candidates, evacuated := d.candidatesFor(route), d.evacuated()
 	var choice Choice
-	var node string
+	var dest destination
 	found := false
 	err := d.loop.Call(context.Background(), func(now time.Time) {
 		choice, found = d.selectTarget(now, candidates, evacuated, []string{first})
@@ -142,7 +142,7 @@
 			return
 		}
 		d.hedges[route.Name] = h
-		node = d.recordSent(now, candidates, choice)
+		dest = d.recordSent(now, candidates, choice)
 	})
-	return choice, node, err == nil && found
+	return choice, dest, err == nil && found
 }
--- a/node/peer/target_table.go
+++ b/node/peer/target_table.go
@@ -52,6 +52,8 @@
 	Domain  string
 	Node    string        // node beside the target; empty if it is named like the instance
 	Penalty time.Duration // added to the cost of the target
+	// StartedAt tells the starts of a target apart; zero if it is not known.
+	StartedAt time.Time
 }
 
 // NodeName returns the name of the node beside the target.
@@ -96,12 +98,14 @@
 	loadAt        time.Time // arrival of load
 	lost          bool      // the last connection was refused or broke
 	backoff       time.Duration
-	avoidUntil    time.Time // new requests are avoided before this time
-	lastSent      time.Time // last request of this node
-	lastReport    time.Time // last load report that arrived without a request, zero if there was none
-	bootID        uint32    // boot ID in the last load report
-	reportNumber  uint32    // sequence number of the last load report
-	leavingAt     time.Time // last time at which the target was known to be leaving
+	avoidUntil    time.Time           // new requests are avoided before this time
+	lastSent      time.Time           // last request of this node
+	lastReport    time.Time           // last load report that arrived without a request, zero if there was none
+	bootID        uint32              // boot ID in the last load report
+	reportNumber  uint32              // sequence number of the last load report
+	leavingAt     time.Time           // last time at which the target was known to be leaving
+	announced     target.Announcement // of the target itself, in its responses to requests of this node
+	startedAt     time.Time           // start of the target to which announced belongs
 }
 
 // domainRTT is the smoothed round-trip time to a failure domain.
@@ -157,6 +161,9 @@
 // WithSent returns the table after a request was sent; exactly one WithDone must follow.
 func (t TargetTable) WithSent(now time.Time, c Candidate) TargetTable {
 	e := t.get(c.Name)
+	if !e.startedAt.Equal(c.StartedAt) {
+		e.announced, e.startedAt = target.Announcement{}, c.StartedAt
+	}
 	e.domain, e.lastSent = c.Domain, now
 	e.outstanding++
 	t.sentCount++
@@ -179,6 +186,19 @@
 	return t.with(e)
 }
 
+// WithAnnouncement returns the table after a response with what the target announced in it.
+func (t TargetTable) WithAnnouncement(now time.Time, name string, r answer.TargetReport) TargetTable {
+	e := t.get(name)
+	e.announced = e.announced.WithReport(now, r, false)
+	return t.with(e)
+}
+
+// AnnouncedRate returns the requests per second that the target has announced to this node recently, zero for none.
+func (t TargetTable) AnnouncedRate(now time.Time, name string) float64 {
+	e := t.get(name)
+	return e.announced.RecentRate(now)
+}
+
 // WithRefusal returns the table after a gate refused a request; unless the refusal was for the deadline, the target is
 // avoided for its RetryAfter.
 func (t TargetTable) WithRefusal(now time.Time, name string, r answer.Refusal, l target.Load) TargetTable {
--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -22,6 +22,10 @@
 
 // Admission keeps the gate on the control goroutine and lets traffic goroutines wait for its decisions.
 type Admission struct {
+	// OnAnnounce is called on the control goroutine when the target announces another rate or none; nil
+	// disables it. It must not change after the first request.
+	OnAnnounce func(Announcement)
+
 	loop          *loop.Loop
 	clock         *clock.Clock
 	decide        func(g Gate, now time.Time, req AdmissionRequest) (Gate, Decision)
@@ -164,20 +168,24 @@
 	a.deliver(now, nil)
 }
 
-// ApplyReport applies what the target reported with a response; a report without load is ignored.
+// ApplyReport applies what the target reported with a response to a request.
 func (a *Admission) ApplyReport(r answer.TargetReport) {
-	if r.HasLoad {
-		_ = a.loop.Post(context.Background(), func(now time.Time) {
+	_ = a.loop.Post(context.Background(), func(now time.Time) {
+		if r.HasLoad {
 			a.probe = a.probe.WithResponse(now)
-			a.handleReport(now, r, false)
-		})
-	}
+		}
+		a.handleReport(now, r, false)
+	})
 }
 
 // handleReport applies a report of the target; waiting requests may start if it shows that the target is fast again.
 func (a *Admission) handleReport(now time.Time, r answer.TargetReport, probed bool) {
 	var decisions []Decision
+	before := a.gate.Announced()
 	a.gate = a.gate.WithReport(now, r, probed)
+	if after := a.gate.Announced(); a.OnAnnounce != nil && after.Rate() != before.Rate() {
+		a.OnAnnounce(after)
+	}
 	a.gate, decisions = a.gate.WithTick(now)
 	a.deliver(now, decisions)
 }
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -18,6 +18,7 @@
 	Version          int64         // version of the configuration by which the sender checked the request
 	Priority         Priority
 	MaxWait          time.Duration // longest expected wait before the request goes on to another target, negative for no bound
+	AnnouncedRate    float64       // requests per second that the target has announced to the sender, zero for none
 	Idempotent       bool
 	SoftDeadline     time.Time     // when the response is wanted, zero if not stated
 	LatencyObjective time.Duration // from the arrival of the caller's request to the soft deadline
--- a/node/target/forwarder.go
+++ b/node/target/forwarder.go
@@ -49,7 +49,7 @@
 	arrived := f.now()
 	finish, err := f.admit(c.Request.Context(), AdmissionRequest{
 		TargetName: c.TargetName, Account: c.Account, Route: c.Route, Priority: c.Priority, MaxWait: c.MaxWait,
-		SoftDeadline: c.SoftDeadline, LatencyObjective: c.LatencyObjective, Deadline: c.Deadline,
+		SoftDeadline: c.SoftDeadline, LatencyObjective: c.LatencyObjective, Deadline: c.Deadline, AnnouncedRate: c.AnnouncedRate,
 		Nested: c.Nested(), Retried: IsRetried(c.Request.Header.Get("Tracestate")),
 	})
 	started := f.now()
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -134,7 +135,7 @@
 	return Load{
 		Running:      len(g.running),
 		Queued:       g.queue.Len(),
-		Limit:        g.limit.WithIdle(now).Value(),
+		Limit:        g.reportedLimit(now),
 		ServiceTime:  g.limit.ServiceTime(),
 		FailureRate:  g.limit.FailureRate(),
 		Leaving:      g.leaving,
@@ -146,6 +147,19 @@
 	}
 }
 
+// reportedLimit returns the concurrent requests that senders should expect the target to have capacity for. At an announced rate it
+// runs that rate times the service time at once (Little's law), however many slots it has.
+func (g Gate) reportedLimit(now time.Time) int {
+	limit := g.limit.WithIdle(now).Value()
+	if rate := g.state.announced.Rate(); rate > 0 {
+		limit = min(limit, int(math.Ceil(rate*g.limit.ServiceTime().Seconds())))
+	}
+	return max(limit, 1)
+}
+
+// Announced returns what the target has announced in its responses.
+func (g Gate) Announced() Announcement { return g.state.announced }
+
 // RetriedShare returns the share of the recent runs at the target that were retries. The calls that the target makes in turn are
 // retries in the same proportion.
 func (g Gate) RetriedShare() float64 { return g.retriedShare }
@@ -198,6 +212,7 @@
 	case g.state.DiffersFrom(req.TargetName):
 		return g, refuse(req.ID, answer.CodeLeaving, leavingRetryAfter, replacedText)
 	}
+	g.state = g.state.WithSenderRate(now, req.AnnouncedRate)
 	g.limit = g.limit.WithIdle(now)
 	g = g.withOverdue(now)
 	g.queue = g.queue.clone(now)
--- a/node/target/queue.go
+++ b/node/target/queue.go
@@ -22,8 +22,9 @@
 	SoftDeadline     time.Time     // when the response is wanted, zero if not stated
 	LatencyObjective time.Duration // from the arrival of the caller's request to the soft deadline, zero if not stated
 	Deadline         time.Time
-	Nested           bool // a running request at another target made it
-	Retried          bool // an earlier attempt reached a target of the service
+	Nested           bool    // a running request at another target made it
+	AnnouncedRate    float64 // rate that the target has announced to the sender, zero for none
+	Retried          bool    // an earlier attempt reached a target of the service
 }
 
 // OverMaxWait reports whether an expected wait is too long, so that the request goes on to another target.
--- a/node/target/state.go
+++ b/node/target/state.go
@@ -38,6 +38,11 @@
 	ColdRate  float64 // requests per second that it has capacity for while cold, zero if unknown
 }
 
+// DiffersFrom reports whether the registration is known to be of another target than the named one; an empty name stands for any.
+func (r Registration) DiffersFrom(name string) bool {
+	return name != "" && r.Name != "" && r.Name != name
+}
+
 // State holds what the platform declares about a target and what the target reports about itself; it is immutable.
 type State struct {
 	registration  Registration
@@ -51,6 +56,8 @@
 	coldUntil     time.Time     // when the target becomes warm
 	coldUnknown   bool          // the target may have restarted since it was last probed
 	starts        []time.Time   // starts of requests within coldWindow
+	announced     Announcement
+	pacer         pacer // keeps to the announced rate
 }
 
 // Registration returns the registration of the target.
@@ -60,7 +67,7 @@
 // values are reset.
 func (s State) WithRegistration(r Registration) State {
 	if s.registration.Name != r.Name || !s.registration.StartedAt.Equal(r.StartedAt) {
-		s = State{starts: s.starts, coldUnknown: true}
+		s = State{starts: s.starts, coldUnknown: true} // the announcement was that of another start
 	}
 	s.registration = r
 	return s
@@ -75,6 +82,9 @@
 // WithReport returns the state after a report of the target; probed is set if it came with the response to a probe. Only
 // these say whether the target is cold.
 func (s State) WithReport(now time.Time, r answer.TargetReport, probed bool) State {
+	if !s.registration.DiffersFrom(r.Instance) {
+		s = s.withAnnouncement(now, s.announced.WithReport(now, r, probed))
+	}
 	if r.HasLoad {
 		s.slowdown, s.loadAt = r.Slowdown, now
 		if s.meanSlowdown == 0 {
@@ -97,6 +107,16 @@
 	return s
 }
 
+func (s State) withAnnouncement(now time.Time, a Announcement) State {
+	s.announced, s.pacer = a, s.pacer.withRate(now, a.Rate())
+	return s
+}
+
+// WithSenderRate returns the state with the announced rate that a sender has heard of, zero for none.
+func (s State) WithSenderRate(now time.Time, rate float64) State {
+	return s.withAnnouncement(now, s.announced.WithSenderRate(now, rate))
+}
+
 // withSlowPhase tracks the slow phases of the target and their mean length.
 func (s State) withSlowPhase(now time.Time) State {
 	switch {
@@ -141,9 +161,23 @@
 // IsCold reports whether the target is or may be cold.
 func (s State) IsCold(now time.Time) bool { return s.coldUnknown || now.Before(s.coldUntil) }
 
-// NextStart returns the earliest time at which another request may start, zero if one may start now. A cold target gets its
-// requests evenly spaced, except for bursts of coldBurst, so that senders see at once when its rate is used up.
+// StartRate returns the requests per second that may start at present, zero for any number.
+func (s State) StartRate(now time.Time) float64 {
+	rate := s.announced.Rate()
+	if cold := s.registration.ColdRate; cold > 0 && s.IsCold(now) && (rate == 0 || cold < rate) {
+		return cold
+	}
+	return rate
+}
+
+// NextStart returns the earliest time at which another request may start, zero if one may start now.
 func (s State) NextStart(now time.Time) time.Time {
+	return laterOf(s.nextColdStart(now), s.pacer.next(now))
+}
+
+// nextColdStart is NextStart for the cold rate. A cold target gets its requests evenly spaced, except for bursts of coldBurst, so that
+// senders see at once when its rate is used up.
+func (s State) nextColdStart(now time.Time) time.Time {
 	if s.registration.ColdRate <= 0 || !s.IsCold(now) {
 		return time.Time{}
 	}
@@ -172,6 +206,7 @@
 
 // WithStart returns the state after a request started.
 func (s State) WithStart(now time.Time) State {
+	s.pacer = s.pacer.withStart(now)
 	if s.registration.ColdRate > 0 {
 		s.starts = append(slices.Clone(s.recentStarts(now)), now)
 	}
--- a/node/target/wait.go
+++ b/node/target/wait.go
@@ -79,8 +79,8 @@
 		wait += service * time.Duration(running-limit) / time.Duration(running)
 	}
 	if nextStart := g.state.NextStart(now); !nextStart.IsZero() {
-		// A cold target serves the queue at its cold rate.
-		wait = max(wait, nextStart.Sub(now)+time.Duration(float64(ahead)/g.state.Registration().ColdRate*float64(time.Second)))
+		// The target takes the queue at its cold rate, or at the rate that it has announced.
+		wait = max(wait, nextStart.Sub(now)+time.Duration(float64(ahead)/g.state.StartRate(now)*float64(time.Second)))
 	}
 	return wait
 }
