target, peer: send nothing more to a target that says that it is leaving

A target that leaves says so in all its responses (DRAIN). No code read this: a target was leaving only once the store's entry or its node said so, and a gate that had just started knew neither.

Change: the announcement of a target also holds that it is leaving. Its gate then refuses new requests as not run and serves those that wait. Senders that have seen it in a response send nothing more to that start of the target, whatever its gate reports: the gate may have started since. It is taken back by a response to a request without it, a second later at the earliest, or by another start of the target; a target that gets no requests any more stays excluded until its entry changes.

--- a/node/answer/dialect.go
+++ b/node/answer/dialect.go
@@ -20,6 +20,7 @@
 	ColdRemaining time.Duration // time until the target is warm
 	HasRateLimit  bool          // whether the target announces the rate below
 	RateLimit     float64       // requests per second that it takes from all senders together
+	Leaving       bool          // the target announces that it is leaving
 }
 
 // Dialect describes the headers and status codes that a node uses towards callers and targets. Header names are in canonical
--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -49,11 +49,11 @@
 		journal.Count(n.budget.Max(tcp.KindCaller)), journal.Connections(n.openConns()))
 }
 
-// onAnnounce logs what the target beside the node announces in its responses; it runs on the control goroutine.
+// onAnnounce logs and counts what the target beside the node announces in its responses; it runs on the control goroutine.
 func (n *Node) onAnnounce(a target.Announcement) {
 	name, _ := n.admission.Target()
-	n.metrics.SetAnnouncedRate(a.Rate())
-	n.journal.InfoDecision("target announces a rate", journal.Instance(name), journal.Rate(a.Rate()))
+	n.metrics.SetAnnounced(a.Rate(), a.IsLeaving())
+	n.journal.InfoDecision("target announces a rate or that it is leaving", journal.Instance(name), journal.Rate(a.Rate()), journal.Leaving(a.IsLeaving()))
 }
 
 // logRequest logs the outcome of a request at its entry node.
--- a/node/journal/fields.go
+++ b/node/journal/fields.go
@@ -112,6 +112,9 @@
 // Rate is a number of requests per second, zero for any number.
 func Rate(r float64) Field { return Field{name: "rate", value: r} }
 
+// Leaving states whether a target is leaving.
+func Leaving(leaving bool) Field { return Field{name: "leaving", value: leaving} }
+
 // GateLoad is the state of a gate when it decided on a request.
 func GateLoad(running, queued, limit int) Field {
 	return Field{name: "gate", value: gateLoad{Running: running, Queued: queued, Limit: limit}}
--- a/node/operator/metrics.go
+++ b/node/operator/metrics.go
@@ -64,6 +64,7 @@
 		"queued":  {help: "Requests queued beside the target."},
 		"limit":   {help: "Concurrent requests that the target has capacity for."},
 		"pace":    {help: "Requests per second that the target announces to take, zero for any number."},
+		"leaving": {help: "Whether the target announces that it is leaving, 0 or 1."},
 		"probing": {help: "Share of the target's time used by probes, 0 to 1."},
 		"budget":  {help: "Share of the target's time that probes may use, 0 to 1."},
 	}
@@ -212,8 +213,16 @@
 	m.set("limit", "", float64(limit))
 }
 
-// SetAnnouncedRate sets the requests per second that the target announces to take, zero for any number.
-func (m *Metrics) SetAnnouncedRate(rate float64) { m.set("pace", "", rate) }
+// SetAnnounced sets the requests per second that the target announces to take, zero for any number, and whether it says that it is
+// leaving.
+func (m *Metrics) SetAnnounced(rate float64, leaving bool) {
+	m.set("pace", "", rate)
+	value := 0.0
+	if leaving {
+		value = 1
+	}
+	m.set("leaving", "", value)
+}
 
 // SetProbeRatio sets the fractions of the target's time that probes use and may use.
 func (m *Metrics) SetProbeRatio(used, budget float64) {
--- a/node/peer/announcement_test.go
+++ b/node/peer/announcement_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -11,6 +12,42 @@
 	"verbenapin.dev/node/target"
 )
 
+// TestAnnouncedLeaving guards against a request to a target that has told this node that it is leaving: its gate may have started
+// since and not know, or no other target may be left.
+func TestAnnouncedLeaving(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	one := []Candidate{{Name: "a", Domain: "near", StartedAt: start}}
+	again := []Candidate{{Name: "a", Domain: "near", StartedAt: at(5000)}}
+	served := TargetTable{}.WithSent(start, one[0]).WithDone(start, "a").WithResponse(start, "a", loadOf(1, 12), 0)
+	leaving := served.WithAnnouncement(start, "a", answer.TargetReport{Leaving: true})
+	cases := map[string]struct {
+		table      TargetTable
+		candidates []Candidate
+		at         int
+		want       bool
+	}{
+		"not announced":               {table: served, candidates: one, want: true},
+		"announced":                   {table: leaving, candidates: one},
+		"a second later":              {table: leaving, candidates: one, at: 1000},
+		"its gate does not know":      {table: leaving.WithLoadReport(at(3000), LoadReport{Target: "a", BootID: 2, Number: 1, Load: loadOf(0, 12)}), candidates: one, at: 3000},
+		"its gate was lost":           {table: leaving.WithLost(at(10), "a"), candidates: one, at: 9000},
+		"a response before it":        {table: leaving.WithAnnouncement(at(100), "a", answer.TargetReport{}), candidates: one, at: 200},
+		"it takes requests again":     {table: leaving.WithAnnouncement(at(1000), "a", answer.TargetReport{}), candidates: one, at: 1000, want: true},
+		"another start":               {table: leaving, candidates: again, at: 6000, want: true},
+		"a request is not answered":   {table: TargetTable{}.WithSent(start, one[0]).WithAnnouncement(start, "a", answer.TargetReport{Leaving: true}), candidates: one, at: 10},
+		"sent to after another start": {table: leaving.WithSent(at(6000), again[0]).WithDone(at(6000), "a"), candidates: again, at: 6000, want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, ok := tc.table.Choose(at(tc.at), r, tc.candidates, "near", nil, nil)
+			require.Equal(t, tc.want, ok)
+			if !tc.want {
+				require.Equal(t, ReasonLeaving, got.Reason)
+			}
+		})
+	}
+}
+
 // TestAnnouncedRate guards against a sender that passes on a rate which the target announced long ago, and against one that loses or
 // alters it on the way to the gate.
 func TestAnnouncedRate(t *testing.T) {
--- a/node/peer/choose.go
+++ b/node/peer/choose.go
@@ -169,6 +169,9 @@
 	var best *entry
 	for _, c := range candidates {
 		e := t.find(c.Name)
+		if t.announcesLeaving(&c) {
+			continue
+		}
 		if e == nil || e.known || e.lost || e.load.Leaving || slices.Contains(evacuated, c.Domain) || slices.Contains(tried, c.Name) {
 			continue
 		}
@@ -190,6 +193,9 @@
 	if slices.Contains(tried, c.Name) {
 		return ReasonTried
 	}
+	if t.announcesLeaving(c) {
+		return ReasonLeaving
+	}
 	if usable, _, reason := t.availability(now, c.Name); !usable {
 		return reason
 	}
--- a/node/peer/target_table.go
+++ b/node/peer/target_table.go
@@ -199,6 +199,13 @@
 	return e.announced.RecentRate(now)
 }
 
+// announcesLeaving reports whether the candidate has told this node that it is leaving. What its gate reports does not change that:
+// a gate that has started since has not heard it.
+func (t *TargetTable) announcesLeaving(c *Candidate) bool {
+	e := t.find(c.Name)
+	return e != nil && e.announced.IsLeaving() && e.startedAt.Equal(c.StartedAt)
+}
+
 // WithRefusal returns the table after a gate refused a request; unless the refusal was for the deadline, the target is
 // avoided for its RetryAfter.
 func (t TargetTable) WithRefusal(now time.Time, name string, r answer.Refusal, l target.Load) TargetTable {
--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -22,8 +22,8 @@
 
 // Admission keeps the gate on the control goroutine and lets traffic goroutines wait for its decisions.
 type Admission struct {
-	// OnAnnounce is called on the control goroutine when the target announces another rate or none; nil
-	// disables it. It must not change after the first request.
+	// OnAnnounce is called on the control goroutine when the target announces another rate or that it is leaving, or no longer does;
+	// nil disables it. It must not change after the first request.
 	OnAnnounce func(Announcement)
 
 	loop          *loop.Loop
@@ -183,7 +183,7 @@
 	var decisions []Decision
 	before := a.gate.Announced()
 	a.gate = a.gate.WithReport(now, r, probed)
-	if after := a.gate.Announced(); a.OnAnnounce != nil && after.Rate() != before.Rate() {
+	if after := a.gate.Announced(); a.OnAnnounce != nil && (after.Rate() != before.Rate() || after.IsLeaving() != before.IsLeaving()) {
 		a.OnAnnounce(after)
 	}
 	a.gate, decisions = a.gate.WithTick(now)
--- a/node/target/announcement.go
+++ b/node/target/announcement.go
@@ -24,6 +24,7 @@
 	heard     bool      // a response of the target has been received
 	limitedAt time.Time // last response that announced a rate, zero if none is in force
 	rate      float64   // requests per second
+	leavingAt time.Time // last response that announced that the target is leaving, zero if that is not in force
 }
 
 // WithReport returns the announcement after a response. Only a response to a request ends what was announced: those to probes come
@@ -37,6 +38,12 @@
 	case ends(a.limitedAt):
 		a.limitedAt, a.rate = time.Time{}, 0
 	}
+	switch {
+	case r.Leaving:
+		a.leavingAt = now
+	case ends(a.leavingAt):
+		a.leavingAt = time.Time{}
+	}
 	return a
 }
 
@@ -59,3 +66,6 @@
 	}
 	return a.rate
 }
+
+// IsLeaving reports whether the target has announced that it is leaving.
+func (a Announcement) IsLeaving() bool { return !a.leavingAt.IsZero() }
--- a/node/target/announcement_test.go
+++ b/node/target/announcement_test.go
@@ -156,3 +156,23 @@
 	require.Equal(t, 1, g.WithReport(start, limited(0), false).Load(start).Limit)
 	require.Equal(t, 8, g.WithReport(start, limited(1000), false).Load(start).Limit)
 }
+
+// TestAnnouncedLeaving guards against new requests to a target that says that it is leaving while its registration does not, and
+// against refusing those that wait already.
+func TestAnnouncedLeaving(t *testing.T) {
+	leaving := usual
+	leaving.Leaving = true
+	g, d := fillGate(selfReportingGate(1)).WithArrival(start, newRequest(1, 600))
+	require.Equal(t, ActionWait, d.Action)
+	g = g.WithReport(start, leaving, false)
+	require.True(t, g.Load(start).Leaving)
+	_, d = g.WithArrival(start, newRequest(2, 600))
+	require.Equal(t, ActionRefuse, d.Action)
+	require.Equal(t, answer.CodeLeaving, d.Refusal.Code)
+	done, decisions := g.WithDone(start, 100, Outcome{Latency: ms(100)})
+	require.Len(t, decisions, 1)
+	require.Equal(t, ActionStart, decisions[0].Action)
+	require.True(t, done.WithLeaving(false).Load(start).Leaving, "the registration does not know")
+	require.False(t, g.WithReport(start.Add(announcementHold), usual, false).Load(start).Leaving, "the target stays")
+	require.False(t, g.WithRegistration(Registration{Name: "i", StartedAt: start, Slots: 10}).Load(start).Leaving, "another start")
+}
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -138,7 +138,7 @@
 		Limit:        g.reportedLimit(now),
 		ServiceTime:  g.limit.ServiceTime(),
 		FailureRate:  g.limit.FailureRate(),
-		Leaving:      g.leaving,
+		Leaving:      g.isLeaving(),
 		Slowdown:     g.state.slowdown,
 		MeanSlowdown: g.state.meanSlowdown,
 		Unreachable:  g.unreachable,
@@ -147,6 +147,9 @@
 	}
 }
 
+// isLeaving reports whether the target is registered as leaving or says so itself.
+func (g Gate) isLeaving() bool { return g.leaving || g.state.announced.IsLeaving() }
+
 // reportedLimit returns the concurrent requests that senders should expect the target to have capacity for. At an announced rate it
 // runs that rate times the service time at once (Little's law), however many slots it has.
 func (g Gate) reportedLimit(now time.Time) int {
@@ -203,7 +206,7 @@
 	switch {
 	case g.evacuated:
 		return g, refuse(req.ID, answer.CodeDomain, leavingRetryAfter, "the failure domain is taken out")
-	case g.leaving:
+	case g.isLeaving():
 		return g, refuse(req.ID, answer.CodeLeaving, leavingRetryAfter, "the target is leaving")
 	case !req.Deadline.IsZero() && !now.Before(req.Deadline):
 		return g, refuse(req.ID, answer.CodeLate, 0, "the deadline has passed")
