target: check the id of a refusal before believing it

Report of other operators: a faulty target writes an earlier refusal once more on a kept connection; callers are told that a request has not run while it runs (REFUSED), or it runs at a second target (TWICE). It could happen here.

Cause: the forwarder looked at "not executed" and at status 421 before it compared the request ids, so that the refusal of an earlier request counted as that of the present one.

Change: the id is compared first; a mismatch counts as "may have run", is not applied, and closes the connection.

TestRepeatedRefusal fails in both cases before the change, and with the order alone but without the closed connection. Tests of target pass with the race detector.

--- a/node/target/forwarder.go
+++ b/node/target/forwarder.go
@@ -132,17 +132,21 @@
 func (e MismatchError) Error() string { return "target: mismatched response: " + e.Reason }
 
 // verifyResponse returns the response, or an error if it does not belong to this request or says that the target did not
-// run it. On an error the body is closed.
+// run it. On an error the body is closed, and also the connection if the response belongs to another request: the response to this one
+// may follow.
 func (f *Forwarder) verifyResponse(c Call, res *http.Response) (*http.Response, error) {
 	d := f.Dialect
+	// Checked first, since a refusal of an earlier request says nothing about this one, and neither does what it reports.
+	if d.EchoRequestID && res.Header.Get(d.RequestIDHeader) != c.Request.Header.Get(d.RequestIDHeader) {
+		closeConnection(res)
+		return nil, SendError{Err: MismatchError{Reason: "its request ID differs"}, Wrote: true}
+	}
 	var err error
 	switch {
 	case res.StatusCode == http.StatusMisdirectedRequest && d.TargetHeader != "":
 		err = answer.NewNotExecuted(answer.CodeLeaving, replacedText).WithReachedTarget()
 	case d.NotExecuted(res):
 		err = answer.NewNotExecuted(answer.CodeBusy, "the target did not run the request").WithReachedTarget()
-	case d.EchoRequestID && res.Header.Get(d.RequestIDHeader) != c.Request.Header.Get(d.RequestIDHeader):
-		err = SendError{Err: MismatchError{Reason: "its request ID differs"}, Wrote: true}
 	case d.SignatureHeader != "" && res.StatusCode < http.StatusMultipleChoices && res.Header.Get(d.SignatureHeader) == "":
 		err = SendError{Err: MismatchError{Reason: "its signature header is missing"}, Wrote: true}
 	default:
--- a/node/target/late_response_test.go
+++ b/node/target/late_response_test.go
@@ -110,3 +110,85 @@
 		}
 	}
 }
+
+// TestRepeatedRefusal guards against a request that counts as not run, and so runs again elsewhere, because a target wrote the refusal
+// of an earlier request once more on a connection that is in use again, and against a connection that stays in use although its
+// responses are off by one.
+func TestRepeatedRefusal(t *testing.T) {
+	cases := map[string]string{
+		"not executed":      "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n%sContent-Length: 0\r\n\r\n",
+		"of another target": "HTTP/1.1 421 Misdirected Request\r\n%sContent-Length: 0\r\n\r\n",
+	}
+	for name, refusal := range cases {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go repeatRefusal(c, refusal)
+				}
+			}()
+			transport := NewTransport(&url.URL{Scheme: "http", Host: l.Addr().String()}, 1)
+			defer transport.Close()
+			f := NewForwarder(time.Now, func() (config.Tree, error) {
+				return config.NewTree(1, config.Fleet{}, []config.Route{{Name: "r", AuthExempt: true}}, nil), nil
+			}, func(context.Context, AdmissionRequest) (func(Outcome), error) { return func(Outcome) {}, nil },
+				func() Load { return Load{} }, transport.RoundTrip)
+			f.Dialect.EchoRequestID, f.Dialect.TargetHeader = true, "X-For"
+			f.Dialect.NotExecuted = func(res *http.Response) bool { return res.Header.Get("X-Not-Run") != "" }
+			send := func(id string) (string, error) {
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://service/", nil)
+				require.NoError(t, err)
+				req.Header.Set(f.Dialect.RequestIDHeader, id)
+				reply, err := f.Do(Call{Request: req, Route: "r", TargetName: "i", Deadline: time.Now().Add(5 * time.Second)})
+				if err != nil {
+					return "", err
+				}
+				defer reply.Response.Body.Close()
+				body, err := io.ReadAll(reply.Response.Body)
+				return string(body), err
+			}
+			var refused answer.Refusal
+			_, err = send("refused")
+			require.ErrorAs(t, err, &refused)
+			require.Equal(t, answer.NotExecuted, refused.Execution)
+			_, err = send("run")
+			require.ErrorAs(t, err, &refused)
+			require.Equal(t, answer.MaybeExecuted, refused.Execution, "the target ran the request")
+			got, err := send("next")
+			require.NoError(t, err)
+			require.Equal(t, "next", got)
+		})
+	}
+}
+
+// repeatRefusal refuses the request with the id refused, writes that refusal again before the response to the next request on the
+// connection, and answers all others with their ids.
+func repeatRefusal(c net.Conn, refusal string) {
+	defer c.Close()
+	r, again := bufio.NewReader(c), ""
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		name := answer.DefaultDialect().RequestIDHeader
+		id := req.Header.Get(name)
+		if id == "refused" {
+			again = fmt.Sprintf(refusal, name+": "+id+"\r\n")
+			_, _ = io.WriteString(c, again)
+			continue
+		}
+		_, _ = io.WriteString(c, again)
+		time.Sleep(10 * time.Millisecond) // the response follows while the next request may be on its way
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", name, id, len(id), id); err != nil {
+			return
+		}
+		again = ""
+	}
+}
--- a/node/target/transport.go
+++ b/node/target/transport.go
@@ -107,9 +107,27 @@
 		wrote := conn != nil && conn.written.Load() != writtenBefore
 		return nil, SendError{Err: err, Wrote: wrote, Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
+	if conn != nil {
+		res.Body = &connBody{ReadCloser: res.Body, conn: conn}
+	}
 	return res, nil
 }
 
+// connBody is the body of a response with its connection.
+type connBody struct {
+	io.ReadCloser
+	conn net.Conn
+}
+
+// closeConnection closes the body and the connection of a response. Closing the body alone would keep the connection of a response
+// with an empty body for the next request.
+func closeConnection(res *http.Response) {
+	_ = res.Body.Close()
+	if b, ok := res.Body.(*connBody); ok {
+		_ = b.conn.Close()
+	}
+}
+
 // Close closes the connections that are not in use.
 func (t *Transport) Close() { t.http.CloseIdleConnections() }
 
