caller: take no request from a connection that is closing

Cause: a stop wakes only connections without requests. The reading goroutine of one with a running request was already waiting for the next head, and served a request that a caller sent behind it at any time of the grace period.

Change: a request that begins on a closing connection is not read. The response before it says that the connection closes, as the caller needs to know that it may send the request again; this is now decided when the response is written, so that one to a request that ran when the stop began says so too.

TestRequestDuringShutdown fails before ("the request was taken").

--- a/node/caller/conn.go
+++ b/node/caller/conn.go
@@ -186,10 +186,19 @@
 	return r, nil
 }
 
-// beginRequest counts a request as pending from its first byte on, so that a graceful shutdown waits for it.
+// ClosingError reports a request that is not read, because the connection ends after those before it.
+type ClosingError struct{}
+
+func (ClosingError) Error() string { return "caller: the connection is closing" }
+
+// beginRequest counts a request as pending from its first byte on, so that a graceful shutdown waits for it. It returns a ClosingError
+// for one that begins once the connection is closing, since the time left may not suffice for it.
 func (c *conn) beginRequest() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing {
+		return ClosingError{}
+	}
 	c.pending++
 	c.inHead = true
 	c.recordState()
@@ -294,6 +303,8 @@
 	var netErr net.Error
 	switch {
 	case errors.As(err, &headErr):
+	case errors.As(err, &ClosingError{}):
+		return
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		c.cancel() // the caller has disconnected, so nobody waits for the responses
 		return
@@ -385,9 +396,6 @@
 		c.endRequest()
 		close(w.done)
 	}()
-	if c.isClosing() {
-		w.Header().Set("Connection", "close")
-	}
 	if c.refusing {
 		c.server.refuseForRoom(w, r.WithContext(c.ctx))
 		return
--- a/node/caller/conn_test.go
+++ b/node/caller/conn_test.go
@@ -397,3 +397,44 @@
 	require.Equal(t, "done", <-got)
 	require.NoError(t, <-ended)
 }
+
+// TestRequestDuringShutdown guards against a request that is taken from a connection in use while the node stops: at the end of the
+// grace period it would be cut off.
+func TestRequestDuringShutdown(t *testing.T) {
+	running, finished, late := make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
+	finish := sync.OnceFunc(func() { close(finished) })
+	s := newTestServer(t, config.CallerLimits{}, func(r *http.Request) (*http.Response, error) {
+		if r.URL.Path == "/late" {
+			late <- struct{}{}
+			return text("late")
+		}
+		close(running)
+		<-finished
+		return text("done")
+	})
+	t.Cleanup(finish)
+	c := s.dial()
+	_, _ = io.WriteString(c, get("/first"))
+	<-running
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	require.Eventually(t, s.isClosed, 5*time.Second, time.Millisecond)
+	_, _ = io.WriteString(c, get("/late"))
+	select {
+	case <-late:
+		require.Fail(t, "the request was taken")
+	case <-time.After(50 * time.Millisecond): // for the request to be read
+	}
+	finish()
+	br := bufio.NewReader(c)
+	res, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	require.Equal(t, "done", string(body))
+	require.True(t, res.Close, "the caller must know that the next request was not read")
+	_, err = br.ReadByte()
+	require.Error(t, err)
+	require.NoError(t, <-ended)
+	require.Empty(t, late)
+}
--- a/node/caller/response.go
+++ b/node/caller/response.go
@@ -108,7 +108,7 @@
 	if noBody {
 		h.Del("Content-Length")
 	}
-	w.closeAfter = w.closeAfter || w.r.Close || (strings.EqualFold(h.Get("Connection"), "close") && w.conn.closeIfLast())
+	w.closeAfter = w.closeAfter || w.r.Close || (w.wantsClose() && w.conn.closeIfLast())
 	h.Del("Connection")
 	switch {
 	case w.omitBody || w.remaining >= 0:
@@ -130,6 +130,11 @@
 	}
 }
 
+// wantsClose reports whether the connection should close after this response unless further requests are pending.
+func (w *response) wantsClose() bool {
+	return strings.EqualFold(w.header.Get("Connection"), "close") || w.conn.server.leaving.Load() || w.conn.isClosing()
+}
+
 // statusCode is the status of a response.
 type statusCode int
 
