--- a/node/caller/room.go
+++ b/node/caller/room.go
@@ -7,12 +7,9 @@
 )
 
 const (
-	// minIdle is how long a connection is idle before it may be closed for another one. The first request of a new connection
-	// arrives within milliseconds.
-	minIdle = 250 * time.Millisecond
-	// minPartialHead is how long a head has been incomplete before its connection may be closed for another one; the head of an
-	// ordinary request arrives in one packet.
-	minPartialHead = time.Second
+	// minWait is how long a connection is idle, or its head incomplete, before it may be closed for another one. The first request of a
+	// new connection arrives within milliseconds, and the rest of a head with it, or after one packet was sent again.
+	minWait = 250 * time.Millisecond
 	// reserveShare is the part of the connections, one in so many, on which requests are only refused, so that callers learn at once
 	// that there is no room. As many may be giving way, which hold their descriptors until their goroutines have run.
 	reserveShare = 8
@@ -59,9 +56,9 @@
 		return RoomServe
 	case r.Closing >= reserve:
 		return RoomClose
-	case r.IdleFor >= minIdle:
+	case r.IdleFor >= minWait:
 		return RoomCloseIdle
-	case r.PartialHead >= minPartialHead:
+	case r.PartialHead >= minWait:
 		return RoomCloseHead
 	case r.Open < r.Max-reserve:
 		return RoomRefuse
--- a/node/caller/room_test.go
+++ b/node/caller/room_test.go
@@ -24,9 +24,9 @@
 	}{
 		"any number":                    {room: Room{Open: 1_000_000}, want: RoomServe},
 		"room":                          {room: Room{Open: 59, Max: 80, IdleFor: time.Hour}, want: RoomServe},
-		"an idle one":                   {room: Room{Open: 60, Max: 80, IdleFor: minIdle, PartialHead: time.Hour}, want: RoomCloseIdle},
-		"an incomplete head":            {room: Room{Open: 60, Max: 80, IdleFor: minIdle - ms, PartialHead: minPartialHead}, want: RoomCloseHead},
-		"all are new or busy":           {room: Room{Open: 60, Max: 80, IdleFor: minIdle - ms, PartialHead: minPartialHead - ms}, want: RoomRefuse},
+		"an idle one":                   {room: Room{Open: 60, Max: 80, IdleFor: minWait, PartialHead: time.Hour}, want: RoomCloseIdle},
+		"an incomplete head":            {room: Room{Open: 60, Max: 80, IdleFor: minWait - ms, PartialHead: minWait}, want: RoomCloseHead},
+		"all are new or busy":           {room: Room{Open: 60, Max: 80, IdleFor: minWait - ms, PartialHead: minWait - ms}, want: RoomRefuse},
 		"no room for refusals":          {room: Room{Open: 70, Max: 80}, want: RoomClose},
 		"no room for refusals, an idle": {room: Room{Open: 70, Max: 80, IdleFor: time.Second}, want: RoomCloseIdle},
 		"some are giving way":           {room: Room{Open: 70, Closing: 9, Max: 80, IdleFor: time.Second}, want: RoomCloseIdle},
