caller, target: read the change once more

Behaviour stays as it is: new connections are logged and counted outside the server's lock, the connections that give way have one name in table and server, and the forwarder of three tests is made in one place.

--- a/node/caller/room.go
+++ b/node/caller/room.go
@@ -74,7 +74,8 @@
 	conns map[*conn]*list.Element // nil for busy connections and those that are giving way
 	idle  *list.List              // of *waitingConn, the longest idle first
 	heads *list.List              // of *waitingConn, the oldest head first
-	gone  map[*conn]bool          // connections that are giving way
+	// yielding holds the connections that are giving way.
+	yielding map[*conn]bool
 }
 
 // waitingConn is a connection that is idle or has an incomplete head since the given time.
@@ -85,7 +86,7 @@
 }
 
 func newConnTable() *connTable {
-	return &connTable{conns: map[*conn]*list.Element{}, idle: list.New(), heads: list.New(), gone: map[*conn]bool{}}
+	return &connTable{conns: map[*conn]*list.Element{}, idle: list.New(), heads: list.New(), yielding: map[*conn]bool{}}
 }
 
 func (t *connTable) setMax(n int) {
@@ -98,22 +99,22 @@
 func (t *connTable) add(now time.Time, c *conn) (RoomAction, *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := Room{Open: len(t.conns) - len(t.gone), Closing: len(t.gone), Max: t.max, IdleFor: oldest(now, t.idle), PartialHead: oldest(now, t.heads)}
+	r := Room{Open: len(t.conns) - len(t.yielding), Closing: len(t.yielding), Max: t.max, IdleFor: oldest(now, t.idle), PartialHead: oldest(now, t.heads)}
 	action := r.Decide()
-	var victim *conn
+	var yielding *conn
 	switch action {
 	case RoomCloseIdle:
-		victim = t.takeFirst(t.idle)
+		yielding = t.takeFirst(t.idle)
 	case RoomCloseHead:
-		victim = t.takeFirst(t.heads)
+		yielding = t.takeFirst(t.heads)
 	case RoomClose:
 		return action, nil
 	}
-	t.conns[c] = nil
 	t.wait(now, c, t.idle)
-	return action, victim
+	return action, yielding
 }
 
+// oldest returns the time since the start of the first wait in a list, zero if the list is empty.
 func oldest(now time.Time, l *list.List) time.Duration {
 	if first := l.Front(); first != nil {
 		return now.Sub(first.Value.(*waitingConn).since)
@@ -124,10 +125,11 @@
 // takeFirst removes the first connection of a list, which gives way to another one.
 func (t *connTable) takeFirst(l *list.List) *conn {
 	c := l.Remove(l.Front()).(*waitingConn).conn
-	t.conns[c], t.gone[c] = nil, true
+	t.conns[c], t.yielding[c] = nil, true
 	return c
 }
 
+// wait appends a connection to the list in which it waits.
 func (t *connTable) wait(now time.Time, c *conn, l *list.List) {
 	t.conns[c] = l.PushBack(&waitingConn{conn: c, since: now, list: l})
 }
@@ -146,8 +148,8 @@
 	}
 	switch {
 	case s == stateBusy:
-		delete(t.gone, c)
-	case t.gone[c]:
+		delete(t.yielding, c)
+	case t.yielding[c]:
 	case s == stateIdle:
 		t.wait(now, c, t.idle)
 	case s == stateHead:
@@ -163,7 +165,7 @@
 		element.Value.(*waitingConn).list.Remove(element)
 	}
 	delete(t.conns, c)
-	delete(t.gone, c)
+	delete(t.yielding, c)
 }
 
 // all returns the open connections.
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -182,34 +182,34 @@
 
 // startConn serves a connection on its own goroutine, or closes it if there is no room or the server has shut down.
 func (s *Server) startConn(raw net.Conn) {
-	c := newConn(s, raw)
-	if yielding := s.addConn(c); yielding != nil {
+	action, yielding := s.addConn(newConn(s, raw))
+	if yielding != nil {
 		yielding.yield()
 	}
+	if action != RoomServe {
+		s.events.OnNoRoom(action)
+	}
 }
 
-// addConn starts a connection and returns the one that gives way to it, if any.
-func (s *Server) addConn(c *conn) *conn {
+// addConn starts a connection or closes it. It returns what the room allowed, and the connection that gives way, if any.
+func (s *Server) addConn(c *conn) (RoomAction, *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isClosed() {
 		_ = c.raw.Close()
-		return nil
+		return RoomServe, nil
 	}
 	action, yielding := s.conns.add(s.now(), c)
-	if action != RoomServe {
-		s.events.OnNoRoom(action)
-	}
 	if action == RoomClose {
 		_ = c.raw.Close()
-		return nil
+		return action, nil
 	}
 	c.refusing = action == RoomRefuse
 	s.handlers.Go(func() {
 		c.serve()
 		s.conns.remove(c)
 	})
-	return yielding
+	return action, yielding
 }
 
 // SetMaxConns sets how many connections may be open, zero for any number.
--- a/node/target/late_response_test.go
+++ b/node/target/late_response_test.go
@@ -43,10 +43,7 @@
 			}()
 			transport := NewTransport(&url.URL{Scheme: "http", Host: l.Addr().String()}, 4)
 			defer transport.Close()
-			f := NewForwarder(time.Now, func() (config.Tree, error) {
-				return config.NewTree(1, config.Fleet{}, []config.Route{{Name: "r", AuthExempt: true}}, nil), nil
-			}, func(context.Context, AdmissionRequest) (func(Outcome), error) { return func(Outcome) {}, nil },
-				func() Load { return Load{} }, transport.RoundTrip)
+			f := newTestForwarder(transport)
 			f.Dialect.EchoRequestID = true
 			send := func(id string) (string, error) {
 				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://service/", nil)
@@ -83,6 +80,14 @@
 	}
 }
 
+// newTestForwarder returns a forwarder that admits every attempt on the route r.
+func newTestForwarder(t *Transport) *Forwarder {
+	return NewForwarder(time.Now, func() (config.Tree, error) {
+		return config.NewTree(1, config.Fleet{}, []config.Route{{Name: "r", AuthExempt: true}}, nil), nil
+	}, func(context.Context, AdmissionRequest) (func(Outcome), error) { return func(Outcome) {}, nil },
+		func() Load { return Load{} }, t.RoundTrip)
+}
+
 // serveTwice answers each request with its id, and the first one a second time: before the answer to the second request, or while
 // the connection is idle.
 func serveTwice(c net.Conn, idle bool, copied chan<- struct{}) {
@@ -135,10 +140,7 @@
 			}()
 			transport := NewTransport(&url.URL{Scheme: "http", Host: l.Addr().String()}, 1)
 			defer transport.Close()
-			f := NewForwarder(time.Now, func() (config.Tree, error) {
-				return config.NewTree(1, config.Fleet{}, []config.Route{{Name: "r", AuthExempt: true}}, nil), nil
-			}, func(context.Context, AdmissionRequest) (func(Outcome), error) { return func(Outcome) {}, nil },
-				func() Load { return Load{} }, transport.RoundTrip)
+			f := newTestForwarder(transport)
 			f.Dialect.EchoRequestID, f.Dialect.TargetHeader = true, "X-For"
 			f.Dialect.NotExecuted = func(res *http.Response) bool { return res.Header.Get("X-Not-Run") != "" }
 			send := func(id string) (string, error) {
--- a/node/target/truncated_head_test.go
+++ b/node/target/truncated_head_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,7 +13,6 @@
 	"github.com/stretchr/testify/require"
 
 	"verbenapin.dev/node/answer"
-	"verbenapin.dev/node/config"
 )
 
 // TestTruncatedHead guards against a response that looks whole with an empty or short body, because its target stopped in the middle of
@@ -43,10 +41,7 @@
 			}()
 			transport := NewTransport(&url.URL{Scheme: "http", Host: l.Addr().String()}, 1)
 			defer transport.Close()
-			f := NewForwarder(time.Now, func() (config.Tree, error) {
-				return config.NewTree(1, config.Fleet{}, []config.Route{{Name: "r", AuthExempt: true}}, nil), nil
-			}, func(context.Context, AdmissionRequest) (func(Outcome), error) { return func(Outcome) {}, nil },
-				func() Load { return Load{} }, transport.RoundTrip)
+			f := newTestForwarder(transport)
 			f.Dialect.EchoRequestID, f.Dialect.SignatureHeader = true, "X-Signature"
 			for length := range head {
 				lengths <- length
