tcp: say in the package comment that it divides the descriptors

Two checks named DiffersFrom compare different names, that of the registration and that of the last probe, and stay apart. Tests of tcp pass with the race detector.

--- a/node/tcp/listener.go
+++ b/node/tcp/listener.go
@@ -1,4 +1,4 @@
-// Package tcp accepts and counts the TCP connections of a node.
+// Package tcp accepts and counts the TCP connections of a node, and divides the descriptors of its process among them.
 package tcp
 
 import (
