review: case 3, a failure status of an upstream is passed on as a promise

Cause: a response of 503, 429 or 408 to a request that is not idempotent is returned as it is, also without the header that says that the request has not run. Done: a script in which one upstream of seven fails part of its requests with 503 after it has run them.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -64,6 +64,7 @@
 
 func main() {
 	cases := map[string]func(root string, trouble bool, r *record) error{
+		"failing":  playFailing,
 		"pipeline": playPipeline,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
--- a/review/rig/pipeline.go
+++ b/review/rig/pipeline.go
@@ -16,9 +16,9 @@
 	pipelineClients = 6
 	pipelineDepth   = 4                      // most requests of a client that are not answered yet
 	pipelineAnswer  = 480_000                // bytes; the site file has downloads of up to 540,000
-	pipelineWork    = 60 * time.Millisecond // of the upstream
+	pipelineWork    = 60 * time.Millisecond  // of the upstream
 	pipelinePause   = 60 * time.Millisecond  // mean time between two requests of a client
-	pipelineThink   = 100 * time.Millisecond  // that a client takes for an answer before it reads the next one
+	pipelineThink   = 100 * time.Millisecond // that a client takes for an answer before it reads the next one
 	pipelineTimeout = 3 * time.Second        // of the client and of the route
 	restartEvery    = 6 * time.Second
 	// pipelineWindow is the client's receive buffer in bytes. The platform's links have small windows.
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -94,6 +94,11 @@
 
 // serveDefault reads the body, runs the request for a time and answers with the given body.
 func (u *upstream) serveDefault(c *upstreamConn, r *http.Request, work time.Duration, answer []byte) bool {
+	return u.serveStatus(c, r, work, http.StatusOK, answer)
+}
+
+// serveStatus is serveDefault with another status.
+func (u *upstream) serveStatus(c *upstreamConn, r *http.Request, work time.Duration, status int, answer []byte) bool {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return false
@@ -101,7 +106,7 @@
 	u.begin(r, body)
 	time.Sleep(work)
 	u.end()
-	return c.respond(r, http.StatusOK, u.signature(), answer)
+	return c.respond(r, status, u.signature(), answer)
 }
 
 func (u *upstream) signature() string { return "Verbenapin-Response-Signature: 3e1b." + u.id + "\r\n" }
