--- a/review/rig/failing.go
+++ b/review/rig/failing.go
@@ -66,9 +66,9 @@
 		wg.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
 				id := fmt.Sprintf("%04x%012x", w, n)
-				status := sendOnce(rec, f.machines[0], http.MethodPost, "/entry/2f", id, failingTimeout)
+				a, _ := sendFinal(rec, f.machines[0], http.MethodPost, "/entry/2f", id, failingTimeout) // zero without an answer
 				mu.Lock()
-				statuses[id] = status
+				statuses[id] = a.status
 				mu.Unlock()
 				time.Sleep(10 * time.Millisecond)
 			}
@@ -89,25 +89,3 @@
 	}
 	return nil
 }
-
-// sendOnce sends a request with a short body on a connection of its own, and returns the status of its answer, zero without one.
-func sendOnce(rec *record, m *machine, method, path, id string, timeout time.Duration) int {
-	c, err := dialNode(m)
-	if err != nil {
-		rec.line("sending %s: %v", id, err)
-		return 0
-	}
-	defer func() { _ = c.Close() }()
-	rec.line("sent %s: %s %s", id, method, path)
-	if _, err := fmt.Fprintf(c, "%sContent-Length: 2\r\n\r\nok", requestHead(method, path, id, timeout)); err != nil {
-		rec.line("sending %s: %v", id, err)
-		return 0
-	}
-	a, err := c.receive(method, timeout, func(answer) {})
-	if err != nil {
-		rec.line("answer %s: none: %v", id, err)
-		return 0
-	}
-	rec.line("answer %s: %d, signature %q, %q", id, a.status, a.header.Get("Verbenapin-Response-Signature"), a.body)
-	return a.status
-}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -65,6 +65,7 @@
 func main() {
 	cases := map[string]func(root string, trouble bool, r *record) error{
 		"failing":  playFailing,
+		"garble":   playGarble,
 		"pipeline": playPipeline,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
