--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -66,6 +66,7 @@
 	cases := map[string]func(root string, trouble bool, r *record) error{
 		"failing":  playFailing,
 		"garble":   playGarble,
+		"path":     playPath,
 		"pipeline": playPipeline,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -117,7 +117,7 @@
 	defer u.mu.Unlock()
 	u.running++
 	u.runs = append(u.runs, run{
-		id: r.Header.Get("Verbenapin-Request-Id"), upstream: u.id, method: r.Method, path: r.URL.RequestURI(), body: digest(body), size: len(body),
+		id: r.Header.Get("Verbenapin-Request-Id"), upstream: u.id, method: r.Method, path: r.RequestURI, body: digest(body), size: len(body),
 		caller: r.Header.Get("Verbenapin-Caller-Service"), tenant: r.Header.Get("Verbenapin-Tenant"), at: time.Now(),
 	})
 }
