--- a/review/rig/garble.go
+++ b/review/rig/garble.go
@@ -105,7 +105,7 @@
 			rec.line("answer %s: none: %v", id, err)
 			return answer{}, err
 		}
-		rec.line("answer %s: %d, signature %q, %q", id, a.status, a.header.Get("Verbenapin-Response-Signature"), a.body)
+		rec.line("answer %s: %d, signature %q, %d bytes %.40q", id, a.status, a.header.Get("Verbenapin-Response-Signature"), len(a.body), a.body)
 		if a.status >= 200 {
 			return a, nil
 		}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -66,6 +66,7 @@
 	cases := map[string]func(root string, trouble bool, r *record) error{
 		"failing":  playFailing,
 		"garble":   playGarble,
+		"hang":     playHang,
 		"path":     playPath,
 		"pipeline": playPipeline,
 	}
