target, peer: end a response that hangs once its deadline has passed

Callers of a target that stopped in the middle of a body had neither the rest nor the end of the connection until they gave up, and the target's slot stayed in use for as long.

Cause: the deadline of an attempt ended with the head of the response, at the gate and at the entry node, and nothing bounded the body after that.

Ruled out: a deadline that fires without ending the read (the body ends when its caller leaves, by the same context), and a gate that ends the body while the entry node waits (the target's connection stayed open too). A deadline for the whole body was not an option: a slow caller must get an answer whole that the target has given.

Change: target.Progress decides after the deadline whether a response hangs: its reader only waited in the last interval, and got less than 1 KB. The gate applies it to its target (250 ms), the entry node to another node (1 s, since a throttled link serves many responses in turn). A short body that the gate reads whole is refused as late, not as lost.

--- a/node/daemon/proxy_test.go
+++ b/node/daemon/proxy_test.go
@@ -382,6 +382,28 @@
 	require.Less(t, got, 200*time.Millisecond)
 }
 
+// TestHungBody guards against a caller that waits for the rest of a response long after the deadline, and against a target whose slots
+// stay in use meanwhile.
+func TestHungBody(t *testing.T) {
+	t.Parallel()
+	entry, targetNode := twoNodes(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "90000")
+		_, _ = w.Write(make([]byte, 45000))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	r := newRequest(t, http.MethodGet, entry.url("/read"), nil)
+	r.Header.Set(answer.HeaderDeadline, "300")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	res, err := newClient(t).Do(r.WithContext(ctx))
+	require.NoError(t, err)
+	_, err = io.ReadAll(res.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	_ = res.Body.Close()
+	require.Eventually(t, func() bool { return targetNode.admission.Load().Running == 0 }, 5*time.Second, 5*time.Millisecond)
+}
+
 // TestSlowReader guards against a stalled reader that holds a slot of the target.
 func TestSlowReader(t *testing.T) {
 	t.Parallel()
--- a/node/peer/dispatch.go
+++ b/node/peer/dispatch.go
@@ -31,6 +31,10 @@
 // states whether the request was executed.
 const deadlineGrace = 20 * time.Millisecond
 
+// bodySampling is the interval in which the body of a response from another node must make progress after the deadline. A throttled
+// link serves one chunk of each large response in turn, so that each of sixty gets one within it at 10 Mbit/s.
+const bodySampling = time.Second
+
 // Selector chooses the target of an attempt: TargetTable.Choose, or a baseline of the measuring program.
 type Selector func(t TargetTable, now time.Time, r *rand.Rand, candidates []Candidate, ownDomain string, evacuated, tried []string) (Choice, bool)
 
@@ -263,7 +267,8 @@
 	return attemptResult{name: a.name, reply: reply, err: err}
 }
 
-// sendAttempt sends the attempt to its target under its deadline, which covers the time until the response headers.
+// sendAttempt sends the attempt to its target under its deadline, which covers the time until the response headers. After it, the body
+// must make progress: the gate sees to that at its target, and this node at a connection to another node.
 func (d *Dispatcher) sendAttempt(a activeAttempt) (target.Reply, error) {
 	timer := time.AfterFunc(time.Until(a.call.Deadline)+deadlineGrace, func() { a.cancel(context.DeadlineExceeded) })
 	call := a.call
@@ -280,6 +285,9 @@
 		a.cancel(nil)
 		return reply, err
 	}
+	if a.node != d.self.Name {
+		reply.Response.Body = target.MonitorBody(reply.Response.Body, a.call.Deadline.Add(deadlineGrace), bodySampling, a.cancel)
+	}
 	reply.Response.Body = &trackedBody{ReadCloser: reply.Response.Body, onClose: func() {
 		a.cancel(nil)
 		d.recordDone(a.name)
--- a/node/target/buffer.go
+++ b/node/target/buffer.go
@@ -39,6 +39,9 @@
 	_, err := io.ReadFull(res.Body, body)
 	_ = res.Body.Close()
 	done(err)
+	if errors.As(err, &HungError{}) {
+		return nil, answer.NewMaybeExecuted(answer.CodeLate, "deadline passed while the target was sending its response")
+	}
 	if err != nil {
 		return nil, answer.NewMaybeExecuted(answer.CodeLost, "the response of the target broke off")
 	}
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -22,7 +22,7 @@
 	Idempotent       bool
 	SoftDeadline     time.Time     // when the response is wanted, zero if not stated
 	LatencyObjective time.Duration // from the arrival of the caller's request to the soft deadline
-	Deadline         time.Time     // when the head of the response must have arrived
+	Deadline         time.Time     // when the head of the response must have arrived, and its body if it makes no progress
 }
 
 // Nested reports whether a running request at another target made the request: such calls have no account.
--- a/node/target/forwarder.go
+++ b/node/target/forwarder.go
@@ -90,8 +90,12 @@
 	return nil
 }
 
+// bodySampling is the interval in which the body of a target's response must make progress after the deadline. The target is on the same
+// machine, so that only the target itself delays it.
+const bodySampling = 250 * time.Millisecond
+
 // forward sends the request to the target and returns its response, whose body is read ahead.
-// The deadline applies until the head of the response has arrived; a long body may take longer.
+// The head of the response must arrive until the deadline; the body may take longer as long as the target sends it.
 func (f *Forwarder) forward(c Call, finish func(Outcome)) (*http.Response, error) {
 	started := f.now()
 	ctx, cancel := context.WithCancelCause(c.Request.Context())
@@ -115,6 +119,7 @@
 	}
 	f.OnReport(f.Dialect.Report(res.Header))
 	f.Dialect.StripInternal(res.Header)
+	res.Body = MonitorBody(res.Body, c.Deadline, bodySampling, cancel)
 	kind := outcomeKind(res.StatusCode)
 	return readAhead(res, func() { cancel(nil) }, func(err error) {
 		outcome := Outcome{Kind: kind, Latency: took}
