instance: replace a control connection whose messages time out

When connections between nodes went silent for good, leases and broadcasts over them failed at their time-outs for as long as the kernel kept the connection, many minutes; a caller whose account's homes were behind them was refused meanwhile.

Cause: control connections have no keep-alive, and the pool gave out the same connection after each time-out.

Ruled out: gRPC noticing by itself (TestSilentConnection: it goes on using the connection). Its keep-alive would notice after 10 s at the earliest.

Change: the pool replaces a connection after two messages in a row that ended at their time-outs.

Measured: TestSilentConnection, with a stream and with single messages, failed without the change and passes with it.

--- a/node/instance/rpc/pool.go
+++ b/node/instance/rpc/pool.go
@@ -1,19 +1,28 @@
 package rpc
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 // maxConns bounds the open connections. A node needs about 8 to neighbours and at most 24 to homes.
 const maxConns = 48
 
+// maxTimeouts is how many messages in a row may end at their time-outs before the connection is replaced. A connection may go silent for
+// good, while a new one works; the kernel notices only many minutes later.
+const maxTimeouts = 2
+
 type pooledConn struct {
 	conn     *grpc.ClientConn
 	lastUsed time.Time
+	timeouts int // messages in a row that ended at their time-outs
 }
 
 // Pool keeps gRPC connections to other nodes and closes the least recently used one beyond maxConns.
@@ -42,10 +51,11 @@
 		return nil, ClosedError{}
 	}
 	if c, ok := p.conns[addr]; ok {
-		p.conns[addr] = pooledConn{conn: c.conn, lastUsed: time.Now()}
+		c.lastUsed = time.Now()
+		p.conns[addr] = c
 		return c.conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+addr, p.options...)
+	conn, err := grpc.NewClient("passthrough:///"+addr, append(slices.Clip(p.options), p.observe(addr)...)...)
 	if err != nil {
 		return nil, fmt.Errorf("instance: creating a gRPC client for %s: %w", addr, err)
 	}
@@ -63,6 +73,56 @@
 	return conn, nil
 }
 
+// observe returns the options that pass the outcome of each message to an address to recordOutcome.
+func (p *Pool) observe(addr string) []grpc.DialOption {
+	unary := func(ctx context.Context, method string, req, reply any, conn *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+		err := invoke(ctx, method, req, reply, conn, opts...)
+		p.recordOutcome(addr, conn, err)
+		return err
+	}
+	stream := func(ctx context.Context, desc *grpc.StreamDesc, conn *grpc.ClientConn, method string, open grpc.Streamer, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+		s, err := open(ctx, desc, conn, method, opts...)
+		if err != nil {
+			p.recordOutcome(addr, conn, err)
+			return nil, err
+		}
+		return &observedStream{ClientStream: s, onReceive: func(err error) { p.recordOutcome(addr, conn, err) }}, nil
+	}
+	return []grpc.DialOption{grpc.WithChainUnaryInterceptor(unary), grpc.WithChainStreamInterceptor(stream)}
+}
+
+// observedStream is a stream that reports each received message or its error.
+type observedStream struct {
+	grpc.ClientStream
+	onReceive func(err error)
+}
+
+// RecvMsg receives a message.
+func (s *observedStream) RecvMsg(m any) error {
+	err := s.ClientStream.RecvMsg(m)
+	s.onReceive(err)
+	return err
+}
+
+// recordOutcome closes a connection after maxTimeouts messages that ended at their time-outs; the next message opens another one.
+func (p *Pool) recordOutcome(addr string, conn *grpc.ClientConn, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.conns[addr]
+	if !ok || c.conn != conn {
+		return
+	}
+	c.timeouts++
+	if status.Code(err) != codes.DeadlineExceeded {
+		c.timeouts = 0
+	}
+	p.conns[addr] = c
+	if c.timeouts >= maxTimeouts {
+		delete(p.conns, addr)
+		_ = conn.Close()
+	}
+}
+
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
