--- a/node/answer/relay.go
+++ b/node/answer/relay.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 )
 
 // copyBufferSize is the size of the buffers that copy bodies, in bytes.
@@ -61,11 +62,15 @@
 // attempt. Therefore stop must be called before w is used again; after it nothing more is forwarded.
 func (d Dialect) Informational(w http.ResponseWriter) (trace *httptrace.ClientTrace, stop func()) {
 	var mu sync.Mutex
+	var received atomic.Int32
 	stopped := false
 	trace = &httptrace.ClientTrace{Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
 		if err := CheckInformational(code, header); err != nil {
 			return err // ends the attempt: the rest of the response would be read as the next one
 		}
+		if received.Add(1) > MaxInformational {
+			return StatusError{Status: code, Reason: "too many informational responses"}
+		}
 		if code == http.StatusContinue {
 			return nil // the server answers Expect itself when the body is first read
 		}
--- a/node/answer/status.go
+++ b/node/answer/status.go
@@ -31,6 +31,9 @@
 	return nil
 }
 
+// MaxInformational is how many informational responses one request may get. Uploads and page loads use a few.
+const MaxInformational = 16
+
 // CheckInformational returns a StatusError if a response with these headers, from which net/http has removed Transfer-Encoding, cannot
 // be an informational one.
 func CheckInformational(status int, h textproto.MIMEHeader) error {
--- a/node/daemon/probe.go
+++ b/node/daemon/probe.go
@@ -21,6 +21,10 @@
 	return budget
 }
 
+// maxProbeBody is how much of the body of a probe's response is read, in bytes. Health responses have some hundred; a target in trouble
+// may send bytes without end.
+const maxProbeBody = 64 << 10
+
 // defaultProbePath is the path of probes unless the service has one of its own.
 const defaultProbePath = "/probe"
 
@@ -40,7 +44,8 @@
 		return target.ProbeResult{Cost: n.clock.Now().Sub(start)}, err
 	}
 	n.metrics.CountProbe(probeResultLabel(res.StatusCode))
-	_, _ = io.Copy(io.Discard, res.Body)
+	// Closing a body that is longer closes its connection.
+	_, _ = io.CopyN(io.Discard, res.Body, maxProbeBody)
 	_ = res.Body.Close()
 	return target.ProbeResult{Cost: n.clock.Now().Sub(start), Report: n.forwarder.Dialect.Report(res.Header)}, nil
 }
