target, peer: pass on the path of the request line unchanged

A request for /entry/2f|gold%3Bv=1/a%2Bb ran as /entry/2f%7Cgold;v=1/a+b: a path with a character that should be encoded, or a byte beyond ASCII, was decoded and encoded anew.

Cause: net/url keeps the received form of a path only if it is a valid encoding.

Ruled out: the check of callers' paths (it uses the request line), and the query, which was passed on as received.

Change: both hops send the path of the request line.

--- a/node/daemon/proxy_test.go
+++ b/node/daemon/proxy_test.go
@@ -63,7 +63,7 @@
 	received := make(chan receivedRequest, 1)
 	entry, _ := twoNodes(t, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		received <- receivedRequest{method: r.Method, path: r.URL.EscapedPath(), query: r.URL.RawQuery, host: r.Host, header: r.Header, length: r.ContentLength, body: body}
+		received <- receivedRequest{method: r.Method, path: strings.SplitN(r.RequestURI, "?", 2)[0], query: r.URL.RawQuery, host: r.Host, header: r.Header, length: r.ContentLength, body: body}
 		w.Header().Set("Verbenapin-Run", "no")
 		w.Header().Set("Verbenapin-Load", "0 0 99 1 0 false")
 		w.Header().Set("X-Answer", "1")
@@ -93,6 +93,7 @@
 		trailer              http.Header
 	}{
 		"GET":              {method: http.MethodGet, path: "/read/x%20y?a=1&b"},
+		"unencoded path":   {method: http.MethodGet, path: "/read/2f|gold%3Bv=1/%41"},
 		"HEAD":             {method: http.MethodHead, path: "/read"},
 		"DELETE":           {method: http.MethodDelete, path: "/write/1"},
 		"empty POST":       {method: http.MethodPost, path: "/write"},
@@ -108,6 +109,7 @@
 		t.Run(name, func(t *testing.T) {
 			informational := 0
 			r := newRequest(t, tc.method, entry.url(tc.path), tc.body)
+			r.URL.Opaque, _, _ = strings.Cut(tc.path, "?") // sent as it is
 			r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 				Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
 					if code == http.StatusEarlyHints && h.Get("Link") == "</x>" {
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -98,11 +97,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	out := call.Request.WithContext(httptrace.WithClientTrace(call.Request.Context(), trace))
 	out.RequestURI = ""
-	out.URL = &url.URL{
-		Scheme: c.scheme, Host: name,
-		Path: call.Request.URL.Path, RawPath: call.Request.URL.RawPath,
-		RawQuery: call.Request.URL.RawQuery, ForceQuery: call.Request.URL.ForceQuery,
-	}
+	out.URL = target.RequestURL(call.Request, c.scheme, name)
 	encodeCall(out.Header, call, c.now())
 	if c.SenderName != "" {
 		out.Header.Set(answer.HeaderSender, c.SenderName)
--- a/node/target/transport.go
+++ b/node/target/transport.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -97,10 +98,8 @@
 		}
 	}}
 	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
-	u := *r.URL
 	base := t.base.Load()
-	u.Scheme, u.Host = base.Scheme, base.Host
-	out.URL = &u
+	out.URL = RequestURL(r, base.Scheme, base.Host)
 	out.RequestURI = ""
 	PreventResend(out)
 	res, err := t.http.RoundTrip(out)
@@ -136,6 +135,17 @@
 // Close closes the connections that are not in use.
 func (t *Transport) Close() { t.http.CloseIdleConnections() }
 
+// RequestURL returns the URL for sending a received request on to a host. Its path is that of the request line: a path with a character
+// that should be encoded would be encoded anew, as a different one.
+func RequestURL(r *http.Request, scheme, host string) *url.URL {
+	u := *r.URL
+	u.Scheme, u.Host = scheme, host
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
+		u.Opaque = path
+	}
+	return &u
+}
+
 // EmptyBody is an empty body that net/http treats as one that it cannot send again.
 type EmptyBody struct{}
 
