caller: do not pass on a status that denies a run which took place

Callers of a target that answered 503 after it had run a check-in got that 503, a promise on the platform that it has not run, and sent the check-in again.

Cause: each response of a target to a request that may run once was returned as it was.

Ruled out: a retry of the node's own, and a header of the target that says "not executed" (there was none).

Change: the dialect names the statuses that deny a run; in place of such a response to a request that may run once the node answers that it may have run, 502 on the platform.

TestDeniedExecution failed before.

--- a/node/answer/dialect.go
+++ b/node/answer/dialect.go
@@ -43,6 +43,8 @@
 	Report      func(h http.Header) TargetReport // returns the target's report about itself in a response
 	NotExecuted func(res *http.Response) bool    // reports whether a target's response says that the request did not and will not run
 	Status      func(r Refusal) int              // returns the HTTP status code of a refusal
+	// DeniesExecution reports whether a status tells callers that their request did not and will not run.
+	DeniesExecution func(status int) bool
 }
 
 // DefaultDialect returns verbenapin's own dialect.
@@ -54,6 +56,8 @@
 		Report:      func(http.Header) TargetReport { return TargetReport{} },
 		NotExecuted: func(*http.Response) bool { return false },
 		Status:      Refusal.Status,
+
+		DeniesExecution: func(int) bool { return false },
 	}
 }
 
--- a/node/caller/attempt.go
+++ b/node/caller/attempt.go
@@ -43,6 +43,11 @@
 			q.permit.Commit()
 			committed = true
 		}
+		if err == nil && !q.route.Idempotent && s.Dialect.DeniesExecution(reply.Response.StatusCode) {
+			// The target has run the request, and its caller would take the status for a promise that it has not.
+			_ = reply.Response.Body.Close()
+			return reply, failure
+		}
 		if err == nil && (reply.Response.StatusCode < http.StatusInternalServerError || !q.route.Idempotent) {
 			return reply, nil
 		}
--- a/node/caller/attempt_test.go
+++ b/node/caller/attempt_test.go
@@ -40,6 +40,11 @@
 
 // serve sends one request, whose attempts end with the outcomes in turn, and counts the refunds and commits of its permit.
 func serve(t *testing.T, idempotent bool, outcomes []outcome, refunds, commits *int) *httptest.ResponseRecorder {
+	t.Helper()
+	return serveDialect(t, answer.DefaultDialect(), idempotent, outcomes, refunds, commits)
+}
+
+func serveDialect(t *testing.T, d answer.Dialect, idempotent bool, outcomes []outcome, refunds, commits *int) *httptest.ResponseRecorder {
 	t.Helper()
 	tree := config.NewTree(1, config.Fleet{},
 		[]config.Route{{Name: "read", Host: "app.example", Path: "/", Service: "app", Idempotent: idempotent, Deadline: time.Second}},
@@ -65,6 +70,7 @@
 	}
 	s := NewServer(func() time.Time { return startTime }, func() (config.Tree, error) { return tree, nil }, acquire,
 		Dispatch{Send: send, AllowRetry: func(config.Route) bool { return true }}, noopEvents(), nil)
+	s.Dialect = d
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodGet, "http://app.example/x", nil)
 	r.Header.Set("X-Api-Key", "key")
@@ -163,7 +169,7 @@
 		t.Run(name, func(t *testing.T) {
 			var hedge func() *http.Request
 			calls := 0
-			s := &Server{now: time.Now, events: noopEvents(), dispatch: Dispatch{Send: func(call target.Call, _ config.Route, _ []string, newHedge func() *http.Request) ([]string, target.Reply, error) {
+			s := &Server{Dialect: answer.DefaultDialect(), now: time.Now, events: noopEvents(), dispatch: Dispatch{Send: func(call target.Call, _ config.Route, _ []string, newHedge func() *http.Request) ([]string, target.Reply, error) {
 				calls++
 				if calls <= c.refused {
 					return []string{"x"}, target.Reply{}, answer.NewNotExecuted(answer.CodeBusy, "full")
@@ -190,3 +196,31 @@
 		})
 	}
 }
+
+// TestDeniedExecution guards against a caller that is told by a target's own status that its request has not run, and sends it again,
+// although the target has run it.
+func TestDeniedExecution(t *testing.T) {
+	d := answer.DefaultDialect()
+	d.DeniesExecution = func(status int) bool { return status == http.StatusServiceUnavailable }
+	d.Status = func(answer.Refusal) int { return http.StatusBadGateway }
+	cases := map[string]struct {
+		idempotent bool
+		outcomes   []outcome
+		status     int
+	}{
+		"denied":             {outcomes: []outcome{{status: 503}}, status: 502},
+		"failed":             {outcomes: []outcome{{status: 500}}, status: 500},
+		"denied, idempotent": {idempotent: true, outcomes: []outcome{{status: 503}, {status: 503}, {status: 503}}, status: 503},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			refunds, commits := 0, 0
+			w := serveDialect(t, d, tc.idempotent, tc.outcomes, &refunds, &commits)
+			require.Equal(t, tc.status, w.Code)
+			require.Equal(t, []int{0, 1}, []int{refunds, commits})
+			if tc.status == http.StatusBadGateway {
+				require.Equal(t, string(answer.MaybeExecuted), w.Header().Get(answer.HeaderExecution))
+			}
+		})
+	}
+}
