caller: close only the writing side after a response

During a graceful shutdown, a caller that sent further requests lost responses that its targets had given: its connection was reset in the middle of them.

Cause: the connection was closed right after the last response was written. With unread requests, or some that arrive later, the kernel resets it then and drops what is not delivered yet.

Ruled out: the end of the process (the resets come seconds before the end of the grace period), and cancelled responses (the targets completed them).

Change: after a recent response the writing side is closed, and what still arrives is discarded until the caller closes, for at most 2 s and 1 MB. Connections that give way for others are closed at once, as before.

--- a/node/caller/conn.go
+++ b/node/caller/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"verbenapin.dev/node/tcp"
 )
 
 const (
@@ -27,6 +29,11 @@
 	writeTimeout = 30 * time.Second
 	// maxDrainBytes bounds what is read of the unread rest of a request body to keep the connection open.
 	maxDrainBytes = 256 << 10
+	// lingerTimeout bounds how long a connection waits for its caller to close it after the last response. A caller reads the rest of the
+	// responses meanwhile; 2 s deliver 1 MB at 4 Mbit/s.
+	lingerTimeout = 2 * time.Second
+	// maxLingerBytes bounds what is discarded meanwhile.
+	maxLingerBytes = 1 << 20
 	// http2Preface is the start of an HTTP/2 connection without TLS.
 	http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 )
@@ -68,11 +75,13 @@
 	refusing bool // there is no room for the connection, so that its requests are refused; does not change once it is served
 
 	mu       sync.Mutex
-	pending  int  // requests that have begun to arrive and are not yet answered
-	inHead   bool // a head has begun to arrive and is incomplete
-	http2    bool // net/http serves the connection
-	streams  bool // the HTTP/2 connection has streams
-	closing  bool // no further requests are read
+	pending  int       // requests that have begun to arrive and are not yet answered
+	inHead   bool      // a head has begun to arrive and is incomplete
+	http2    bool      // net/http serves the connection
+	streams  bool      // the HTTP/2 connection has streams
+	closing  bool      // no further requests are read
+	yielded  bool      // the connection gives way for another one
+	answered time.Time // end of the last response
 	handlers sync.WaitGroup
 	slots    chan struct{}
 }
@@ -100,6 +109,7 @@
 func (c *conn) serve() {
 	defer func() {
 		c.handlers.Wait()
+		c.linger()
 		c.cancel()
 		_ = c.raw.Close()
 	}()
@@ -136,6 +146,26 @@
 	<-turn // the last response must be written before the connection closes
 }
 
+// hasRecentResponse reports whether a response may not be delivered yet. Connections that give way for others are closed at once.
+func (c *conn) hasRecentResponse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ctx.Err() == nil && !c.refusing && !c.yielded && time.Since(c.answered) < lingerTimeout
+}
+
+// linger closes the writing side and discards what the caller still sends, until the caller closes or lingerTimeout has passed. If the
+// connection were closed with unread data, or data arrived after that, the kernel would reset it and drop responses that are not
+// delivered yet.
+func (c *conn) linger() {
+	if !c.hasRecentResponse() || tcp.CloseWrite(c.raw.Conn) != nil {
+		return
+	}
+	c.raw.remaining = maxLingerBytes
+	if c.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		_, _ = io.Copy(io.Discard, c.raw)
+	}
+}
+
 // awaitDisconnect cancels the requests of a connection if the caller disconnects before the response to its last request. What
 // it sends after that request is not read.
 func (c *conn) awaitDisconnect() {
@@ -243,7 +273,7 @@
 	if c.state() == stateBusy {
 		return
 	}
-	c.closing = true
+	c.closing, c.yielded = true, true
 	_ = c.raw.SetReadDeadline(time.Now()) // wakes the reading goroutine
 }
 
@@ -252,6 +282,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.answered = time.Now()
 	c.recordState()
 	if c.pending > 0 {
 		return
--- a/node/tcp/listener.go
+++ b/node/tcp/listener.go
@@ -58,6 +58,17 @@
 	return &countedConn{Conn: raw, onClose: sync.OnceFunc(func() { open.Add(-1) })}
 }
 
+// CloseWrite closes the writing side of a connection; its error is errors.ErrUnsupported for one that is not of TCP.
+func CloseWrite(c net.Conn) error {
+	switch c := c.(type) {
+	case *countedConn:
+		return CloseWrite(c.Conn)
+	case *net.TCPConn:
+		return c.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // Close closes the connection.
 func (c *countedConn) Close() error {
 	defer c.onClose()
