--- a/node/account/limiter.go
+++ b/node/account/limiter.go
@@ -54,7 +54,6 @@
 	membership    Membership
 	limits        []accountLimit
 	placement     Placement // on the listed nodes
-	allPlacement  Placement // on the listed and the absent nodes
 }
 
 // NewLimiter returns the limiter of the node self, whose state is owned by the given loop.
@@ -127,11 +126,10 @@
 	t := l.tree.WithHomes(l.membership.Listed())
 	l.placement = l.placement.WithTree(t)
 	byAccount := l.placement.Homes()
-	l.allPlacement = l.placement
 	var parts map[string]float64
 	if l.membership.HasAbsent() {
-		l.allPlacement = l.allPlacement.WithTree(t.WithHomes(l.membership.All()))
-		parts = l.membership.Parts(t, l.allPlacement.Homes(), l.overage)
+		all := l.placement.WithTree(t.WithHomes(l.membership.All()))
+		parts = l.membership.Parts(t, all.Homes(), l.overage)
 	}
 	l.sharesVersion++
 	shares := NewShares(l.self, t, byAccount).WithVersion(l.sharesVersion)
--- a/node/answer/status.go
+++ b/node/answer/status.go
@@ -6,8 +6,8 @@
 	"net/textproto"
 )
 
-// lastFinalStatus is the highest status that a final response may have.
-const lastFinalStatus = 599
+// MaxStatus is the highest status that a response may have.
+const MaxStatus = 599
 
 // StatusError reports a response whose status it cannot have.
 type StatusError struct {
@@ -22,7 +22,7 @@
 // CheckFinal returns a StatusError if res cannot be a final response. net/http returns 101 as one and accepts any three digits, and its
 // servers write 101 as an informational response, which a 200 of their own follows. A node never asks to switch protocols.
 func CheckFinal(res *http.Response) error {
-	if res.StatusCode < http.StatusOK || res.StatusCode > lastFinalStatus {
+	if res.StatusCode < http.StatusOK || res.StatusCode > MaxStatus {
 		return StatusError{Status: res.StatusCode, Reason: "not the status of a final response"}
 	}
 	if res.StatusCode == http.StatusNoContent && (announcesBody(res.Header) || len(res.TransferEncoding) > 0) {
--- a/node/caller/conn.go
+++ b/node/caller/conn.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strings"
 	"sync"
 	"time"
 
@@ -34,8 +33,6 @@
 	lingerTimeout = 2 * time.Second
 	// maxLingerBytes bounds what is discarded meanwhile.
 	maxLingerBytes = 1 << 20
-	// http2Preface is the start of an HTTP/2 connection without TLS.
-	http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 )
 
 // HeadError reports a request that cannot be read, with the status that is sent to the caller.
@@ -355,61 +352,6 @@
 	}
 }
 
-// serveHTTP2 hands an HTTP/2 connection to net/http and waits for its end. It reports whether r begins such a connection.
-func (c *conn) serveHTTP2(r *http.Request) bool {
-	if r.Method != "PRI" || r.RequestURI != "*" || r.ProtoMajor != 2 {
-		return false
-	}
-	if c.refusing {
-		c.endRequest()
-		return true
-	}
-	c.beginHTTP2()
-	_ = c.raw.SetReadDeadline(time.Time{})
-	// http.ReadRequest has consumed the preface up to the empty line, and net/http expects it.
-	consumed := http2Preface[:len("PRI * HTTP/2.0\r\n\r\n")]
-	replayed := &replayedConn{
-		Conn: c.raw.Conn, owner: c, reader: io.MultiReader(strings.NewReader(consumed), c.reader), closed: make(chan struct{}),
-	}
-	if c.server.http2.handOver(replayed) {
-		<-replayed.closed
-	}
-	return true
-}
-
-// beginHTTP2 ends the request that began the HTTP/2 connection.
-func (c *conn) beginHTTP2() {
-	c.mu.Lock()
-	c.http2, c.streams = true, true
-	c.mu.Unlock()
-	c.endRequest()
-}
-
-// setStreams records whether the HTTP/2 connection has streams.
-func (c *conn) setStreams(streams bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.streams = streams
-	c.recordState()
-}
-
-// replayedConn is a connection whose first bytes were already read; its reader returns them again.
-type replayedConn struct {
-	net.Conn
-	owner  *conn
-	reader io.Reader
-	once   sync.Once
-	closed chan struct{}
-}
-
-func (c *replayedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
-
-// Close closes the connection and wakes the goroutine that handed it over.
-func (c *replayedConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
-	return c.Conn.Close()
-}
-
 // handle serves one request. If the handler panics, the connection is closed, so that the caller does not take a truncated
 // response for a complete one. A panic with http.ErrAbortHandler does this on purpose and is not logged.
 func (c *conn) handle(w *response, r *http.Request) {
--- a/node/caller/http2.go
+++ b/node/caller/http2.go
@@ -1,11 +1,18 @@
 package caller
 
 import (
+	"io"
 	"log"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"time"
 )
 
+// http2Preface is the start of an HTTP/2 connection without TLS.
+const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
 // http2Server serves the HTTP/2 connections of callers with net/http.
 type http2Server struct {
 	http   *http.Server
@@ -75,3 +82,58 @@
 
 // Addr returns an empty address, since another listener accepted the connections.
 func (l http2Listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// serveHTTP2 hands an HTTP/2 connection to net/http and waits for its end. It reports whether r begins such a connection.
+func (c *conn) serveHTTP2(r *http.Request) bool {
+	if r.Method != "PRI" || r.RequestURI != "*" || r.ProtoMajor != 2 {
+		return false
+	}
+	if c.refusing {
+		c.endRequest()
+		return true
+	}
+	c.beginHTTP2()
+	_ = c.raw.SetReadDeadline(time.Time{})
+	// http.ReadRequest has consumed the preface up to the empty line, and net/http expects it.
+	consumed := http2Preface[:len("PRI * HTTP/2.0\r\n\r\n")]
+	replayed := &replayedConn{
+		Conn: c.raw.Conn, owner: c, reader: io.MultiReader(strings.NewReader(consumed), c.reader), closed: make(chan struct{}),
+	}
+	if c.server.http2.handOver(replayed) {
+		<-replayed.closed
+	}
+	return true
+}
+
+// beginHTTP2 ends the request that began the HTTP/2 connection.
+func (c *conn) beginHTTP2() {
+	c.mu.Lock()
+	c.http2, c.streams = true, true
+	c.mu.Unlock()
+	c.endRequest()
+}
+
+// setStreams records whether the HTTP/2 connection has streams.
+func (c *conn) setStreams(streams bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams = streams
+	c.recordState()
+}
+
+// replayedConn is a connection whose first bytes were already read; its reader returns them again.
+type replayedConn struct {
+	net.Conn
+	owner  *conn
+	reader io.Reader
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *replayedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
+// Close closes the connection and wakes the goroutine that handed it over.
+func (c *replayedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
--- a/node/caller/response.go
+++ b/node/caller/response.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"verbenapin.dev/node/answer"
 )
 
 // response is an http.ResponseWriter that writes to the connection once all responses before it are written.
@@ -26,9 +28,6 @@
 	err        error
 }
 
-// maxStatus is the highest status of HTTP.
-const maxStatus = 599
-
 // BrokenError reports a response that cannot be written, because the connection has ended.
 type BrokenError struct{}
 
@@ -78,7 +77,7 @@
 	return w.conn.writer.Flush()
 }
 
-// StatusError reports a status that cannot be written, or that the handler of a request has written none (zero).
+// StatusError reports a status that cannot be written, zero if the handler of a request wrote none.
 type StatusError struct{ Status int }
 
 func (e StatusError) Error() string {
@@ -91,7 +90,7 @@
 	if w.status != 0 || w.awaitTurn() != nil {
 		return
 	}
-	if status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus {
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > answer.MaxStatus {
 		w.err = StatusError{Status: status}
 		return
 	}
--- a/node/target/main_test.go
+++ b/node/target/main_test.go
@@ -1,7 +1,12 @@
 package target
 
 import (
+	"bufio"
 	"flag"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
 	"os"
 	"testing"
 	"time"
@@ -20,6 +25,29 @@
 	os.Exit(m.Run())
 }
 
+// serveOnce starts a target that answers the first request of one connection with respond, and then reads until the node closes the
+// connection; the channel is closed after that.
+func serveOnce(t *testing.T, respond func(r *http.Request, c net.Conn)) (*url.URL, <-chan struct{}) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		if r, err := http.ReadRequest(br); err == nil {
+			respond(r, c)
+			_, _ = io.Copy(io.Discard, br)
+		}
+	}()
+	return &url.URL{Scheme: "http", Host: l.Addr().String()}, closed
+}
+
 var start = time.Unix(1_000_000, 0)
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
