--- a/node/caller/linger_test.go
+++ b/node/caller/linger_test.go
@@ -33,7 +33,9 @@
 	s.Leave()
 	ended := make(chan error, 1)
 	go func() { ended <- s.Shutdown(context.Background()) }()
-	require.Eventually(t, func() bool { return s.isClosed() }, 5*time.Second, time.Millisecond)
+	served := s.conns.all()
+	require.Len(t, served, 1)
+	require.Eventually(t, served[0].isClosing, 5*time.Second, time.Millisecond)
 	// The first of these ends the reading of requests, and the second stays unread.
 	for _, path := range []string{"/2", "/3"} {
 		_, err = io.WriteString(c, get(path))
