account: search the sorted list for absent nodes, and sort it once

Read the change once more: each change of the list compared each known node with each listed one on the control goroutine, 1.4 million comparisons at 1,200 nodes, and sorted the list twice.

--- a/node/account/limiter.go
+++ b/node/account/limiter.go
@@ -114,8 +114,9 @@
 // control goroutine.
 func (l *Limiter) SetHomes(now time.Time, t config.Tree, listed, leaving []string) {
 	limits := limitsOf(t)
-	unchanged := slices.Equal(l.membership.Listed(), slices.Sorted(slices.Values(listed))) && slices.Equal(limits, l.limits)
-	l.tree, l.limits, l.membership = t, limits, l.membership.WithList(l.elapsed(now), listed, leaving)
+	m := l.membership.WithList(l.elapsed(now), listed, leaving)
+	unchanged := slices.Equal(m.Listed(), l.membership.Listed()) && slices.Equal(limits, l.limits)
+	l.tree, l.limits, l.membership = t, limits, m
 	if !unchanged { // most versions change only routes
 		l.updateShares(now)
 	}
--- a/node/account/membership.go
+++ b/node/account/membership.go
@@ -22,12 +22,13 @@
 
 // WithList returns m with the nodes that are listed now, and those of them that have announced that they leave.
 func (m Membership) WithList(now time.Duration, listed, leaving []string) Membership {
+	listed = slices.Sorted(slices.Values(listed))
 	absent := maps.Clone(m.absent)
 	for _, name := range listed {
 		delete(absent, name)
 	}
 	for _, name := range m.listed {
-		if slices.Contains(listed, name) || slices.Contains(m.leaving, name) {
+		if _, ok := slices.BinarySearch(listed, name); ok || slices.Contains(m.leaving, name) {
 			continue
 		}
 		if absent == nil {
@@ -35,7 +36,7 @@
 		}
 		absent[name] = now + absenceTerm
 	}
-	return Membership{listed: slices.Sorted(slices.Values(listed)), leaving: leaving, absent: absent}
+	return Membership{listed: listed, leaving: leaving, absent: absent}
 }
 
 // WithoutGone returns m without the absent nodes that count as gone, and whether there were any.
