--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -17,6 +17,7 @@
 // scenarios by name; each returns what broke the rule, empty if it held.
 var scenarios = map[string]func(f *fleet, trouble bool) (string, error){
 	"cold-extra": coldExtra,
+	"gone":       gone,
 }
 
 func main() {
