review: case 8, a store that the settings move is not followed

Cause: the client of the store is made once at the start; a reload of the settings does not change it.

Done: a script that moves the store to another address, writes it to all settings files, sends SIGHUP to half of the machines, and takes a key away 10 s later.

--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -18,6 +18,7 @@
 var scenarios = map[string]func(f *fleet, trouble bool) (string, error){
 	"cold-extra": coldExtra,
 	"gone":       gone,
+	"moved":      movedStore,
 }
 
 func main() {
