review: case 9, bodies without end outlast the route's time limit

Cause: once the head of a response has arrived, the deadline ends only a body that makes no progress. docs/incidents/bytes-without-end.md names it among what remains.

Done: a script in which one target of seven sends bodies without end.

--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -19,6 +19,7 @@
 	"cold-extra": coldExtra,
 	"gone":       gone,
 	"moved":      movedStore,
+	"endless":    endless,
 }
 
 func main() {
