caller: keep the turn of a pipelined response that breaks before it

Callers saw: nothing certain; a caller that closes its writing side after several pipelined requests could get bytes of two responses mixed, and the race detector reports writes of two goroutines to one buffer. Cause: when the connection's requests are cancelled, a response that waits for its turn breaks at once and closes its done channel. That is the turn of the next response, which then writes beside the one before the broken one. Fix: the handler waits for its own turn before it passes it on, so that at most one response writes, whatever ends the others. The turn always comes, since each handler ends with the connection.

--- a/node/caller/conn.go
+++ b/node/caller/conn.go
@@ -367,6 +367,7 @@
 		<-c.slots
 		c.releaseHold(w.kept)
 		c.endRequest()
+		<-w.turn // also if the response was broken before its turn, since the one before it may still be written
 		close(w.done)
 	}()
 	if c.refusing {
--- a/node/caller/conn_test.go
+++ b/node/caller/conn_test.go
@@ -138,6 +138,35 @@
 	<-cancelled
 }
 
+// TestBrokenBeforeTurn guards against responses that are written at the same time: a response that breaks before its turn must not pass
+// the turn on while the one before it is still written.
+func TestBrokenBeforeTurn(t *testing.T) {
+	s := newTestServer(t, config.CallerLimits{}, func(*http.Request) (*http.Response, error) { return text("late") })
+	served, other := net.Pipe()
+	defer other.Close()
+	c := newConn(s.Server, served)
+	c.cancel()
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(get("/"))))
+	require.NoError(t, err)
+	turn, done, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	w := newResponse(c, r, turn, done)
+	require.NoError(t, c.beginRequest())
+	c.slots <- struct{}{}
+	go func() {
+		c.handle(w, r)
+		close(ended)
+	}()
+	require.Eventually(t, func() bool { return len(c.slots) == 0 }, 5*time.Second, time.Millisecond)
+	select {
+	case <-done:
+		t.Fatal("the turn was passed on")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(turn)
+	<-done
+	<-ended
+}
+
 // TestRequests guards against requests that are handled differently from net/http.
 func TestRequests(t *testing.T) {
 	echo := func(r *http.Request) (*http.Response, error) {
