peer, caller: notice that a sender has left while its body is unread

Cause: net/http watches a connection for its end only once the body has been read, and the peer listener waits for admission first. The listener of callers does the same with long bodies, with Expect: 100-continue, and while sixteen pipelined requests run or one waits for memory. Evidence: TestSenderGone without the watch: all nine requests with an unread body waited on for 5 s, those without a body or with one that was read ended at once. TestCallerLeavesUnread: seven of nine. Fix: tcp.WatchedConn reads ahead, within a bound, while nobody else reads, and cancels the request at the end of the connection. What callers make the node keep so is counted as body memory and leaves half of it to others. The metric gone{stage} counts cancelled attempts; an attempt that is cancelled at the target is no longer logged as a broken connection.

--- a/node/caller/body.go
+++ b/node/caller/body.go
@@ -36,9 +36,22 @@
 	b := &connBody{conn: c, source: r.Body, expectsContinue: expects, w: w, released: make(chan struct{})}
 	r.Body = b
 	w.body = b
+	b.stopWatch = c.watch(c.claimAhead(r, w))
 	return b, nil
 }
 
+// claimAhead takes memory for reading ahead in a body that stays on the connection, and returns how many bytes may be read ahead.
+func (c *conn) claimAhead(r *http.Request, w *response) int {
+	size := int64(maxBufferedBody)
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
+	}
+	if w.kept.body == 0 && c.decide(memory.Claim{Kind: memory.KindBody, Bytes: size, Conn: c.usage.requests.Load() - w.kept.request, Optional: true}) == memory.Grant {
+		w.kept.body = size
+	}
+	return int(w.kept.body)
+}
+
 // claimBody takes the memory for a short body. Without it, the request is refused and its body stays on the connection.
 func (c *conn) claimBody(r *http.Request, w *response) bool {
 	if w.noMemory {
@@ -93,6 +106,7 @@
 	expectsContinue bool // the caller waits for 100 Continue
 	w               *response
 	released        chan struct{}
+	stopWatch       func() // ends the watch for the end of the connection
 
 	mu     sync.Mutex
 	closed bool // the request has ended
@@ -166,6 +180,7 @@
 
 // wait returns when the request has released the body; it reports whether the connection can be used for another request.
 func (b *connBody) wait(ctx context.Context) bool {
+	defer b.stopWatch()
 	select {
 	case <-b.released:
 	case <-ctx.Done():
--- a/node/caller/conn.go
+++ b/node/caller/conn.go
@@ -18,6 +18,7 @@
 
 	"verbenapin.dev/node/answer"
 	"verbenapin.dev/node/memory"
+	"verbenapin.dev/node/tcp"
 )
 
 const (
@@ -63,10 +64,12 @@
 type conn struct {
 	server *Server
 	raw    *limitedConn
-	reader *bufio.Reader
-	writer *bufio.Writer // used by the response that is being written
-	ctx    context.Context
-	cancel context.CancelFunc
+	// watched is the connection below raw.
+	watched *tcp.WatchedConn
+	reader  *bufio.Reader
+	writer  *bufio.Writer // used by the response that is being written
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	refusing bool // there is no room for the connection, so that its requests are refused; does not change once it is served
 	usage    usage
@@ -87,7 +90,8 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{server: s, raw: &limitedConn{Conn: raw, remaining: math.MaxInt}, slots: make(chan struct{}, maxPipelined)}
+	watched := tcp.NewWatchedConn(raw)
+	c := &conn{server: s, raw: &limitedConn{Conn: watched, remaining: math.MaxInt}, watched: watched, slots: make(chan struct{}, maxPipelined)}
 	c.reader = bufio.NewReaderSize(c.raw, readBufferSize)
 	c.writer = bufio.NewWriterSize(deadlineWriter{raw: raw, since: &c.usage.writing}, writeBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -134,7 +138,7 @@
 		next := make(chan struct{})
 		w := newResponse(c, r, turn, next)
 		w.kept, w.noMemory = hold{request: kept}, kept == 0
-		c.slots <- struct{}{}
+		c.takeSlot()
 		body, err := c.prepareBody(r, w)
 		if err != nil {
 			c.releaseHold(w.kept)
@@ -155,6 +159,21 @@
 	<-turn // the last response must be written before the connection closes
 }
 
+// watch cancels the requests of the connection if the caller disconnects before stop is called, unless more than limit bytes are unread
+// by then. It is for times in which nothing is read from the connection.
+func (c *conn) watch(limit int) (stop func()) { return c.watched.Watch(limit, c.cancel) }
+
+// takeSlot waits until one of maxPipelined requests may run.
+func (c *conn) takeSlot() {
+	select {
+	case c.slots <- struct{}{}:
+		return
+	default:
+	}
+	defer c.watch(readBufferSize)()
+	c.slots <- struct{}{}
+}
+
 // mayRead reports whether another request may be read. If no request is pending, it sets the idle timeout.
 func (c *conn) mayRead() bool {
 	c.mu.Lock()
--- a/node/caller/conn_test.go
+++ b/node/caller/conn_test.go
@@ -151,7 +151,7 @@
 	turn, done, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	w := newResponse(c, r, turn, done)
 	require.NoError(t, c.beginRequest())
-	c.slots <- struct{}{}
+	c.takeSlot()
 	go func() {
 		c.handle(w, r)
 		close(ended)
@@ -167,6 +167,53 @@
 	<-ended
 }
 
+// TestCallerLeavesUnread guards against requests that wait and then run although their caller has left, because nothing is read from its
+// connection meanwhile.
+func TestCallerLeavesUnread(t *testing.T) {
+	post := func(headers string, body int) string {
+		return "POST / HTTP/1.1\r\nHost: app.example\r\n" + headers + "\r\n" + strings.Repeat("x", body)
+	}
+	cases := map[string]struct {
+		send    string
+		running int
+	}{
+		"short body":               {post("Content-Length: 300\r\n", 300), 1},
+		"long body, half sent":     {post("Content-Length: 100000\r\n", 50_000), 1},
+		"long body":                {post("Content-Length: 66000\r\n", 66_000), 1},
+		"chunks":                   {post("Transfer-Encoding: chunked\r\n", 0) + "11170\r\n" + strings.Repeat("x", 70_000), 1},
+		"body held back":           {post("Content-Length: 300\r\nExpect: 100-continue\r\n", 0), 1},
+		"as many as may run":       {strings.Repeat(get("/"), maxPipelined), maxPipelined},
+		"more than may run":        {strings.Repeat(get("/"), maxPipelined+4), maxPipelined},
+		"the last one has a body":  {get("/") + post("Content-Length: 100000\r\n", 0), 2},
+		"body held back, then one": {get("/") + post("Content-Length: 300\r\nExpect: 100-continue\r\nConnection: close\r\n", 0), 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			running, ended := make(chan struct{}, 2*maxPipelined), make(chan bool, 2*maxPipelined)
+			s := newTestServer(t, config.CallerLimits{}, func(r *http.Request) (*http.Response, error) {
+				running <- struct{}{}
+				select {
+				case <-r.Context().Done():
+					ended <- true
+				case <-time.After(5 * time.Second):
+					ended <- false
+				}
+				return nil, answer.NewNotExecuted(answer.CodeLate, "cancelled")
+			})
+			c := s.dial()
+			_, err := io.WriteString(c, tc.send)
+			require.NoError(t, err)
+			for range tc.running {
+				<-running
+			}
+			require.NoError(t, c.Close())
+			for range tc.running {
+				require.True(t, <-ended, "a request waited on")
+			}
+		})
+	}
+}
+
 // TestRequests guards against requests that are handled differently from net/http.
 func TestRequests(t *testing.T) {
 	echo := func(r *http.Request) (*http.Response, error) {
--- a/node/caller/memory.go
+++ b/node/caller/memory.go
@@ -50,9 +50,15 @@
 
 // claim takes memory of a kind if the budget allows it; others is what the connection keeps for other requests.
 func (c *conn) claim(k memory.Kind, bytes, others int64) memory.Verdict {
-	s := c.server
+	return c.decide(memory.Claim{Kind: k, Bytes: bytes, Conn: others, Parallel: c.parallel})
+}
+
+// decide takes the memory of a claim if the budget allows it.
+func (c *conn) decide(claim memory.Claim) memory.Verdict {
+	s, k, bytes := c.server, claim.Kind, claim.Bytes
 	kept := s.kept.Add(k, bytes)
-	v := s.memory.Decide(memory.Claim{Kind: k, Bytes: bytes, Kept: kept, Conn: others, Parallel: c.parallel})
+	claim.Kept = kept
+	v := s.memory.Decide(claim)
 	if v != memory.Grant {
 		s.kept.Add(k, -bytes)
 		return v
@@ -83,6 +89,7 @@
 	if v != memory.Wait {
 		return v
 	}
+	defer c.watch(readBufferSize)()
 	select {
 	case <-turn:
 		return c.claim(k, bytes, 0)
--- a/node/daemon/trace.go
+++ b/node/daemon/trace.go
@@ -90,6 +90,9 @@
 	}
 	span.SetRequest(call.Request.Header.Get(n.forwarder.Dialect.RequestIDHeader), call.Route, call.Account)
 	n.logGate(call, reply, err)
+	if err != nil && call.Request.Context().Err() != nil {
+		n.metrics.CountGone(cancelledStage(reply.Timings))
+	}
 	span.SetQueueTime(reply.Timings.QueueTime)
 	span.SetTargetTime(reply.Timings.TargetTime)
 	if err != nil || !span.IsStarted() {
@@ -101,6 +104,14 @@
 	return reply, nil
 }
 
+// cancelledStage returns where an attempt was when it was cancelled.
+func cancelledStage(t target.Timings) operator.Stage {
+	if t.TargetTime > 0 {
+		return operator.StageTarget
+	}
+	return operator.StageQueue
+}
+
 // forward runs an attempt at the target. It refuses one on a route for large responses that would be late, because earlier
 // large responses still wait for the instance's link.
 func (n *Node) forward(call target.Call) (target.Reply, error) {
--- a/node/memory/budget.go
+++ b/node/memory/budget.go
@@ -78,6 +78,8 @@
 	Conn  int64 // of all kinds, for other requests of the connection
 	// Parallel is whether the request cannot wait for others of its connection, as with HTTP/2. The number of its streams is bounded.
 	Parallel bool
+	// Optional is whether the request can be served without it; the second half of the kind is left to those that cannot.
+	Optional bool
 }
 
 // Verdict is the answer to a claim.
@@ -97,6 +99,8 @@
 	large := c.Kind != KindStreams && c.Bytes > largeClaim
 	crowded := c.Conn > 0 && (after > limit/2 || (!c.Parallel && c.Conn+c.Bytes > b.PerConn()))
 	switch {
+	case c.Optional && (crowded || after > limit/2):
+		return Refuse
 	case crowded && !c.Parallel:
 		return Wait
 	case crowded:
--- a/node/memory/budget_test.go
+++ b/node/memory/budget_test.go
@@ -27,6 +27,8 @@
 		"ordinary, full":                   {Claim{Kind: KindRequest, Bytes: 24 << 10, Kept: 17*mb + 250_000}, Refuse},
 		"stream beyond the share":          {Claim{Kind: KindRequest, Bytes: 24 << 10, Kept: mb, Conn: 730 << 10, Parallel: true}, Grant},
 		"stream, half in use":              {Claim{Kind: KindRequest, Bytes: 24 << 10, Kept: 9 * mb, Conn: 24 << 10, Parallel: true}, Refuse},
+		"optional":                         {Claim{Kind: KindBody, Bytes: 60_000, Kept: 2 * mb, Optional: true}, Grant},
+		"optional, half in use":            {Claim{Kind: KindBody, Bytes: 60_000, Kept: 3 * mb, Optional: true}, Refuse},
 		"body, full":                       {Claim{Kind: KindBody, Bytes: 60_000, Kept: 5 * mb}, Refuse},
 	}
 	for name, tc := range cases {
--- a/node/operator/metrics.go
+++ b/node/operator/metrics.go
@@ -58,6 +58,7 @@
 		"crowded":  {help: "New connections of callers without room, by what happened instead: the longest idle connection or the oldest incomplete head was closed, the request was refused, or the new connection was closed.", labels: []string{"choice"}},
 		"shed":     {help: "Callers that were refused, or whose connection was closed, because of what they make the node keep, by reason.", labels: []string{"reason"}},
 		"withheld": {help: "Requests that the gate refused because the calls of their runs would wait too long, by route and called service.", labels: []string{"route", "service"}},
+		"gone":     {help: "Attempts cancelled at the gate, since their sender or their caller has left or another attempt was answered, by stage: in its queue (queue) or at the target (target).", labels: []string{"stage"}},
 		"probes":   {help: "Probes sent to the target, by result.", labels: []string{"result"}},
 		"restored": {help: "Times that the registry's state was replaced because the registry was restored from a backup."},
 	}
@@ -219,6 +220,9 @@
 	m.set("callwait", service, wait.Seconds())
 }
 
+// CountGone counts an attempt that was cancelled at the gate.
+func (m *Metrics) CountGone(s Stage) { m.count("gone", string(s), "", "") }
+
 // CountProbe counts a probe of the target by its result.
 func (m *Metrics) CountProbe(result string) { m.count("probes", result, "", "") }
 
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -13,6 +13,7 @@
 
 	"verbenapin.dev/node/answer"
 	"verbenapin.dev/node/target"
+	"verbenapin.dev/node/tcp"
 )
 
 const (
@@ -58,12 +59,14 @@
 		IdleTimeout:       serverIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         onConnState,
+		ConnContext:       withWatchedConn,
 	}
 	return s
 }
 
 // Serve accepts connections on l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
+	l = tcp.WatchedListener{Listener: l}
 	var err error
 	if s.http.TLSConfig == nil {
 		err = s.http.Serve(headLimitListener{l})
@@ -91,13 +94,15 @@
 		// Closing an idle connection instead could cut off a request that its sender has just begun.
 		w.Header().Set("Connection", "close")
 	}
+	ctx, stopWatch := watchSender(r)
+	defer stopWatch()
 	call, err := decodeCall(r, started)
 	if err != nil {
 		s.refuse(w, answer.NewNotExecuted(answer.CodePath, err.Error()), 0)
 		return
 	}
 	trace, stop := s.Dialect.Informational(w)
-	call.Request = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	call.Request = r.WithContext(httptrace.WithClientTrace(ctx, trace))
 	reply, err := s.handle(call)
 	stop()
 	if err != nil {
@@ -111,7 +116,7 @@
 	setMicroseconds(w.Header(), answer.HeaderQueueTime, reply.Timings.QueueTime)
 	w.Header().Set(answer.HeaderLoad, s.currentLoad().String())
 	setMicroseconds(w.Header(), answer.HeaderNodeTime, s.now().Sub(started))
-	if err := s.Dialect.Relay(w, s.Throttle(r.Context(), reply.Response)); err != nil { //nolint:bodyclose // Relay closes it
+	if err := s.Dialect.Relay(w, s.Throttle(ctx, reply.Response)); err != nil { //nolint:bodyclose // Relay closes it
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/node/target/forwarder.go
+++ b/node/target/forwarder.go
@@ -181,6 +181,7 @@
 		return refused
 	case ctx.Err() != nil:
 		outcome.Kind = OutcomeCancelled
+		return answer.NewMaybeExecuted(answer.CodeLost, "the attempt was cancelled while the target had it")
 	case late:
 		if sendErr.Wrote {
 			return answer.NewMaybeExecuted(answer.CodeLate, "deadline passed while the request was running")
--- a/node/tcp/listener.go
+++ b/node/tcp/listener.go
@@ -76,6 +76,8 @@
 	switch c := c.(type) {
 	case *countedConn:
 		return CloseWrite(c.Conn)
+	case *WatchedConn:
+		return CloseWrite(c.Conn)
 	case *net.TCPConn:
 		return c.CloseWrite()
 	}
