target: end a response that goes on after its deadline, unless its reader is slow

Cause: after the deadline only a body that made no progress was ended, so that any that brought 1 KB in a quarter of a second went on. Evidence: bodies below that bound end, those above do not, with one node and with two, while the caller reads at full speed. TestEndlessToReader on the code before: six of six cases go on for 10 s. Fix: Progress counts the time for which the node waits for the target after the deadline, 400 ms in all. Time in which the response waits for its reader does not count, so that a slow caller still gets the whole response; a reader that takes 128 Mbit/s is not slow. A body without a stated length may bring 64 MB more. The entry node leaves this to the gate, which alone can tell the target from the link. The metric overdue and a log line name such responses.

--- a/node/daemon/endless_test.go
+++ b/node/daemon/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -78,6 +79,80 @@
 	}
 }
 
+// TestEndlessToReader guards against a response without end that outlasts its deadline for as long as its caller reads: the caller must not
+// take it for whole, and the target must see the connection end.
+func TestEndlessToReader(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		http2 bool
+		local bool // the target is beside the entry node
+		pause time.Duration
+	}{
+		"HTTP/1.1, full speed":  {},
+		"HTTP/1.1, in pieces":   {pause: 20 * time.Millisecond},
+		"HTTP/1.1, same node":   {pause: 20 * time.Millisecond, local: true},
+		"HTTP/2, full speed":    {http2: true},
+		"HTTP/2, in pieces":     {http2: true, pause: 20 * time.Millisecond},
+		"HTTP/2, the same node": {http2: true, pause: 20 * time.Millisecond, local: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			ended := make(chan struct{})
+			endless := endlessHandler("/read", &written, ended)
+			entry, targetNode := twoNodes(t, func(w http.ResponseWriter, r *http.Request) {
+				endless(pausingWriter{w, tc.pause}, r)
+			})
+			if tc.local {
+				entry = targetNode
+			}
+			p := new(http.Protocols)
+			p.SetUnencryptedHTTP2(tc.http2)
+			p.SetHTTP1(!tc.http2)
+			transport := &http.Transport{Protocols: p, DialContext: (&net.Dialer{}).DialContext}
+			defer transport.CloseIdleConnections()
+			r := newRequest(t, http.MethodGet, entry.url("/read"), http.NoBody)
+			r.URL.Scheme = "http"
+			r.Header.Set("Verbenapin-Deadline", "300")
+			res, err := transport.RoundTrip(r)
+			require.NoError(t, err)
+			broken := make(chan error, 1)
+			go func() {
+				_, err := io.Copy(io.Discard, res.Body)
+				broken <- err
+			}()
+			for range 2 {
+				select {
+				case err := <-broken:
+					require.Error(t, err, "the response looks whole")
+					broken = nil
+				case <-ended:
+					ended = nil
+				case <-time.After(10 * time.Second):
+					require.Fail(t, "the response goes on")
+				}
+			}
+			_ = res.Body.Close()
+			require.Eventually(t, func() bool { return targetNode.admission.Load().Running == 0 }, 10*time.Second, time.Millisecond, "the slot is not free")
+		})
+	}
+}
+
+// pausingWriter pauses after each write, which it sends at once.
+type pausingWriter struct {
+	http.ResponseWriter
+	pause time.Duration
+}
+
+func (w pausingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	if w.pause > 0 {
+		_ = http.NewResponseController(w.ResponseWriter).Flush()
+		time.Sleep(w.pause)
+	}
+	return n, err
+}
+
 // TestEndlessProbe guards against a probe that reads bytes without end for as long as it may take.
 func TestEndlessProbe(t *testing.T) {
 	t.Parallel()
--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -121,6 +121,13 @@
 	n.journal.InfoRoutine("attempt served", append(fields, journal.Status(reply.Response.StatusCode))...)
 }
 
+// onOverdue counts and logs a response that the gate ended after its deadline.
+func (n *Node) onOverdue(c target.Call, err error) {
+	n.metrics.CountOverdue(c.Route, errors.As(err, &target.HungError{}))
+	n.journal.InfoDecision("response of the target was ended", journal.ID(c.Request.Header.Get(n.forwarder.Dialect.RequestIDHeader)),
+		journal.Route(c.Route), journal.Account(c.Account), journal.Instance(c.TargetName), journal.Cause(err))
+}
+
 // failureFields returns the log fields that state why an attempt failed.
 func failureFields(err error) []journal.Field {
 	var refusal answer.Refusal
--- a/node/operator/metrics.go
+++ b/node/operator/metrics.go
@@ -59,6 +59,7 @@
 		"shed":     {help: "Callers that were refused, or whose connection was closed, because of what they make the node keep, by reason.", labels: []string{"reason"}},
 		"withheld": {help: "Requests that the gate refused because the calls of their runs would wait too long, by route and called service.", labels: []string{"route", "service"}},
 		"gone":     {help: "Attempts cancelled at the gate, since their sender or their caller has left or another attempt was answered, by stage: in its queue (queue) or at the target (target).", labels: []string{"stage"}},
+		"overdue":  {help: "Responses ended after their deadline, by route and reason: the target stopped sending (hung) or went on (overrun).", labels: []string{"reason", "route"}},
 		"probes":   {help: "Probes sent to the target, by result.", labels: []string{"result"}},
 		"restored": {help: "Times that the registry's state was replaced because the registry was restored from a backup."},
 	}
@@ -223,6 +224,16 @@
 // CountGone counts an attempt that was cancelled at the gate.
 func (m *Metrics) CountGone(s Stage) { m.count("gone", string(s), "", "") }
 
+// CountOverdue counts a response that was ended after its deadline, because its target had stopped sending if hung is set, else because
+// it went on.
+func (m *Metrics) CountOverdue(route string, hung bool) {
+	reason := "overrun"
+	if hung {
+		reason = "hung"
+	}
+	m.count("overdue", reason, route, "")
+}
+
 // CountProbe counts a probe of the target by its result.
 func (m *Metrics) CountProbe(result string) { m.count("probes", result, "", "") }
 
--- a/node/peer/attempt.go
+++ b/node/peer/attempt.go
@@ -62,7 +62,7 @@
 		return reply, err
 	}
 	if a.node != d.self.Name {
-		reply.Response.Body = target.MonitorBody(reply.Response.Body, a.call.Deadline.Add(deadlineGrace), bodySampling, a.cancel)
+		reply.Response.Body = target.MonitorBody(reply.Response.Body, a.call.Deadline.Add(deadlineGrace), target.Pace{Interval: bodySampling}, a.cancel)
 	}
 	reply.Response.Body = &trackedBody{ReadCloser: reply.Response.Body, onClose: func() {
 		a.cancel(nil)
--- a/node/target/buffer.go
+++ b/node/target/buffer.go
@@ -60,7 +60,7 @@
 	_, err := io.ReadFull(res.Body, body)
 	_ = res.Body.Close()
 	done(err)
-	if errors.As(err, &HungError{}) {
+	if IsLate(err) {
 		return nil, answer.NewMaybeExecuted(answer.CodeLate, "deadline passed while the target was sending its response")
 	}
 	if err != nil {
--- a/node/target/forwarder.go
+++ b/node/target/forwarder.go
@@ -17,6 +17,8 @@
 	Dialect answer.Dialect
 	// OnReport is called with what the target reports about itself in each response.
 	OnReport func(answer.TargetReport)
+	// OnOverdue is called when a response is ended because of its deadline, with the HungError or OverrunError that says why.
+	OnOverdue func(c Call, err error)
 	// TakeMemory reports whether a response may be read ahead of its receiver by so many bytes, which ReturnMemory returns.
 	TakeMemory   func(bytes int64) bool
 	ReturnMemory func(bytes int64)
@@ -39,7 +41,7 @@
 	roundTrip func(*http.Request) (*http.Response, error),
 ) *Forwarder {
 	return &Forwarder{
-		Dialect: answer.DefaultDialect(), OnReport: func(answer.TargetReport) {},
+		Dialect: answer.DefaultDialect(), OnReport: func(answer.TargetReport) {}, OnOverdue: func(Call, error) {},
 		TakeMemory: func(int64) bool { return true }, ReturnMemory: func(int64) {},
 		now: now, tree: tree, admit: admit, load: load, roundTrip: roundTrip,
 	}
@@ -94,12 +96,28 @@
 	return nil
 }
 
-// bodySampling is the interval in which the body of a target's response must make progress after the deadline. The target is on the same
-// machine, so that only the target itself delays it.
-const bodySampling = 250 * time.Millisecond
+const (
+	// bodySampling is the interval in which the body of a target's response must make progress after the deadline. The target is on the
+	// same machine, so that only the target itself delays it.
+	bodySampling = 250 * time.Millisecond
+	// bodyOvertime is how long a node waits for the rest of such a body after the deadline. Callers are to have a final answer half a
+	// second after it, the way to them included.
+	bodyOvertime = 400 * time.Millisecond
+	// maxUnstated bounds, in bytes, what a slow reader gets after the deadline of a body that states no length and may have no end.
+	maxUnstated = 64 << 20
+)
+
+// bodyPace returns how the body of a target's response must arrive.
+func bodyPace(res *http.Response) Pace {
+	p := Pace{Interval: bodySampling, Overtime: bodyOvertime}
+	if res.ContentLength < 0 {
+		p.MaxLate = maxUnstated
+	}
+	return p
+}
 
 // forward sends the request to the target and returns its response, whose body is read ahead.
-// The head of the response must arrive until the deadline; the body may take longer as long as the target sends it.
+// The head of the response must arrive until the deadline; the body may take longer if its reader is slow, or for bodyOvertime.
 func (f *Forwarder) forward(c Call, finish func(Outcome)) (*http.Response, error) {
 	started := f.now()
 	ctx, cancel := context.WithCancelCause(c.Request.Context())
@@ -123,13 +141,16 @@
 	}
 	f.OnReport(f.Dialect.Report(res.Header))
 	f.Dialect.StripInternal(res.Header)
-	res.Body = MonitorBody(res.Body, c.Deadline, bodySampling, cancel)
+	res.Body = MonitorBody(res.Body, c.Deadline, bodyPace(res), cancel)
 	kind := outcomeKind(res.StatusCode)
 	return f.readAhead(res, func() { cancel(nil) }, func(err error) {
 		outcome := Outcome{Kind: kind, Latency: took}
 		if err != nil && c.Request.Context().Err() == nil {
 			outcome.Kind = OutcomeLost
 		}
+		if IsLate(err) {
+			f.OnOverdue(c, err)
+		}
 		finish(outcome)
 		cancel(nil)
 	})
--- a/node/target/progress_test.go
+++ b/node/target/progress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -32,19 +33,60 @@
 	}
 	for name, samples := range cases {
 		t.Run(name, func(t *testing.T) {
-			p := NewProgress(start, ms(250))
+			p := NewProgress(start, at(samples[0].at), Pace{Interval: ms(250)})
 			for _, s := range samples[:1] {
 				p, _ = p.WithSample(at(s.at), s.bytes, ms(s.waited))
 			}
 			for _, s := range samples[1:] {
-				var hangs bool
-				p, hangs = p.WithSample(at(s.at), s.bytes, ms(s.waited))
-				require.Equal(t, s.hangs, hangs, "at %d ms", s.at)
+				var err error
+				p, err = p.WithSample(at(s.at), s.bytes, ms(s.waited))
+				require.Equal(t, s.hangs, errors.As(err, &HungError{}), "at %d ms", s.at)
 			}
 		})
 	}
 }
 
+// TestOvertime guards against a response without end that makes progress until its caller leaves, and against one that is cut off because
+// its reader is slow.
+func TestOvertime(t *testing.T) {
+	const kb, mb = 1 << 10, 1 << 20
+	cases := map[string]struct {
+		perSecond float64 // bytes
+		waits     float64 // part of the time for which the reader waits
+		length    int64
+		ends      time.Duration // after the deadline, zero if it goes on for a minute
+	}{
+		"drips":                       {perSecond: 5 * kb, waits: 1, length: -1, ends: ms(400)},
+		"drips, with a length":        {perSecond: 5 * kb, waits: 1, length: 1 << 40, ends: ms(400)},
+		"endless, caller reads":       {perSecond: 500 * kb, waits: 0.95, length: -1, ends: ms(424)},
+		"endless, caller reads fast":  {perSecond: 100 * mb, waits: 0.1, length: -1, ends: ms(400)},
+		"endless, slow reader":        {perSecond: 4 * mb, length: -1, ends: 16*time.Second + ms(250)},
+		"long, slow reader":           {perSecond: 400 * kb, length: 30 * mb},
+		"long, slow reader and waits": {perSecond: 400 * kb, waits: 0.001, length: 30 * mb},
+		"unstated, slow reader":       {perSecond: 400 * kb, length: -1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			const deadline = 1000
+			p := NewProgress(at(0), at(deadline), bodyPace(&http.Response{ContentLength: tc.length}))
+			var err error
+			now := at(0)
+			for samples := 0; err == nil && now.Before(at(deadline+60_000)); samples++ {
+				require.Less(t, samples, 1000)
+				now = p.NextSample()
+				elapsed := now.Sub(at(0))
+				p, err = p.WithSample(now, int64(tc.perSecond*elapsed.Seconds()), time.Duration(tc.waits*float64(elapsed)))
+			}
+			if tc.ends == 0 {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorAs(t, err, &OverrunError{})
+			require.InDelta(t, tc.ends.Seconds(), now.Sub(at(deadline)).Seconds(), 0.015)
+		})
+	}
+}
+
 // TestNextSample guards against a hung response that lasts longer than its deadline, and against samples without a pause.
 func TestNextSample(t *testing.T) {
 	cases := map[string]struct{ last, deadline, next int }{
@@ -57,7 +99,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			require.Equal(t, at(tc.next), NewProgress(at(tc.last), ms(250)).NextSample(at(tc.deadline)))
+			require.Equal(t, at(tc.next), NewProgress(at(tc.last), at(tc.deadline), Pace{Interval: ms(250)}).NextSample())
 		})
 	}
 }
@@ -80,6 +122,7 @@
 		length  int
 		respond func(c net.Conn)
 		reading time.Duration // pause of the reader after each 64 KB
+		goesOn  bool          // the response does not hang
 		whole   bool
 	}{
 		"hangs in a long body":      {length: size, respond: send(1, size/2, 0)},
@@ -87,6 +130,9 @@
 		"hangs in a short body":     {length: 1000, respond: send(1, 500, 0)},
 		"hangs, no length":          {length: -1, respond: send(1, size/2, 0)},
 		"single bytes without end":  {length: size, respond: send(1000, 1, 20*time.Millisecond)},
+		"progress without end":      {length: -1, respond: send(500, 4096, 20*time.Millisecond), goesOn: true},
+		"drips of a long body":      {length: 10 * size, respond: send(500, 500, 20*time.Millisecond), goesOn: true},
+		"full speed without end":    {length: -1, respond: send(1<<30, 64<<10, 0), goesOn: true},
 		"slow reader":               {length: size, respond: send(1, size, 0), reading: 100 * time.Millisecond, whole: true},
 		"slow link":                 {length: 40_000, respond: send(20, 2000, 30*time.Millisecond), whole: true},
 		"hangs under a slow reader": {length: size, respond: send(1, size/2, 0), reading: 100 * time.Millisecond},
@@ -128,7 +174,8 @@
 					require.Equal(t, OutcomeSuccess, (<-outcomes).Kind)
 					return
 				}
-				require.ErrorAs(t, err, &HungError{})
+				require.Equal(t, !tc.goesOn, errors.As(err, &HungError{}), err)
+				require.Equal(t, tc.goesOn, errors.As(err, &OverrunError{}), err)
 				require.NoError(t, res.Body.Close())
 			}
 			require.Equal(t, OutcomeLost, (<-outcomes).Kind, "the slot is free")
