caller: let TestRequestDuringShutdown wait until its connection is closing

The test sent its late request once the server was closed, but Shutdown marks the connections only after that, so that a request in between is rightly taken.

--- a/node/caller/conn_test.go
+++ b/node/caller/conn_test.go
@@ -494,7 +494,7 @@
 	<-running
 	ended := make(chan error, 1)
 	go func() { ended <- s.Shutdown(context.Background()) }()
-	require.Eventually(t, s.isClosed, 5*time.Second, time.Millisecond)
+	require.Eventually(t, s.conns.all()[0].isClosing, 5*time.Second, time.Millisecond)
 	_, _ = io.WriteString(c, get("/late"))
 	select {
 	case <-late:
