caller: reset the connection of a broken response without a length

Callers saw: over HTTP/1.0, a response of unknown length that broke off, also one that its time limit ends, looked whole: its body ends with the connection, which was closed in the ordinary way. Evidence: TestBrokenResponse/of_unknown_length,_HTTP/1.0 failed before (no error at the caller) and passes with the change; with a length, or in chunks, a caller saw the break before as well. Fix: a response whose end only the end of its connection marks is broken off by a reset. What was not delivered yet is dropped with it.

--- a/node/caller/conn_test.go
+++ b/node/caller/conn_test.go
@@ -313,11 +313,17 @@
 // TestBrokenResponse guards against a truncated response that looks complete to the caller.
 func TestBrokenResponse(t *testing.T) {
 	broken := io.MultiReader(strings.NewReader("half"), errReader{})
-	cases := map[string]http.Header{
-		"of known length":   {"Content-Length": {"8"}},
-		"of unknown length": {},
+	cases := map[string]struct {
+		header  http.Header
+		version string
+	}{
+		"of known length":             {http.Header{"Content-Length": {"8"}}, "1.1"},
+		"of unknown length":           {http.Header{}, "1.1"},
+		"of known length, HTTP/1.0":   {http.Header{"Content-Length": {"8"}}, "1.0"},
+		"of unknown length, HTTP/1.0": {http.Header{}, "1.0"},
 	}
-	for name, h := range cases {
+	for name, tc := range cases {
+		h := tc.header
 		t.Run(name, func(t *testing.T) {
 			s := newTestServer(t, config.CallerLimits{}, func(*http.Request) (*http.Response, error) {
 				length := int64(-1)
@@ -327,10 +333,14 @@
 				return &http.Response{StatusCode: 200, ContentLength: length, Header: h.Clone(), Body: io.NopCloser(broken)}, nil
 			})
 			c := s.dial()
-			_, _ = io.WriteString(c, get("/"))
+			_, _ = io.WriteString(c, strings.Replace(get("/"), "HTTP/1.1", "HTTP/"+tc.version, 1))
 			res, err := http.ReadResponse(bufio.NewReader(c), nil)
-			require.NoError(t, err)
-			_, err = io.ReadAll(res.Body)
+			if tc.version == "1.1" {
+				require.NoError(t, err)
+			}
+			if err == nil {
+				_, err = io.ReadAll(res.Body)
+			}
 			require.Error(t, err)
 		})
 	}
--- a/node/caller/response.go
+++ b/node/caller/response.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/tcp"
 )
 
 // response is an http.ResponseWriter that writes to the connection once all responses before it are written.
@@ -293,6 +294,12 @@
 	return err
 }
 
+// endsWithConn reports whether only the end of the connection marks the end of the body, so that an ordinary end looks like a whole
+// response.
+func (w *response) endsWithConn() bool {
+	return w.status != 0 && !w.chunked && !w.omitBody && w.remaining < 0
+}
+
 // abort closes the connection before the response is complete.
 func (w *response) abort() {
 	// The buffered part is sent, so that the caller sees how much of the response there was.
@@ -305,6 +312,9 @@
 	if w.body != nil {
 		_ = w.body.release()
 	}
+	if w.endsWithConn() {
+		_ = tcp.Reset(w.conn.raw.Conn)
+	}
 	w.conn.close(true)
 }
 
--- a/node/tcp/listener.go
+++ b/node/tcp/listener.go
@@ -73,15 +73,31 @@
 
 // CloseWrite closes the writing side of a connection; its error is errors.ErrUnsupported for one that is not of TCP.
 func CloseWrite(c net.Conn) error {
+	if raw := tcpConn(c); raw != nil {
+		return raw.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// Reset closes a connection so that the other side sees a reset and not an end; what is not delivered yet is dropped.
+func Reset(c net.Conn) error {
+	if raw := tcpConn(c); raw != nil {
+		_ = raw.SetLinger(0)
+	}
+	return c.Close()
+}
+
+// tcpConn returns the TCP connection below c, or nil if there is none.
+func tcpConn(c net.Conn) *net.TCPConn {
 	switch c := c.(type) {
 	case *countedConn:
-		return CloseWrite(c.Conn)
+		return tcpConn(c.Conn)
 	case *WatchedConn:
-		return CloseWrite(c.Conn)
+		return tcpConn(c.Conn)
 	case *net.TCPConn:
-		return c.CloseWrite()
+		return c
 	}
-	return errors.ErrUnsupported
+	return nil
 }
 
 // Close closes the connection.
