target: check whose response a probe gets

Cause: a probe took the next response on its connection for its own. The late second response of a request stood there, said nothing of cold, and made the target count as warm. Fix: a response with the ID of a request is not that of a probe: it changes nothing and its connection is closed. One that does not name its target, or whose probe was sent before the target may have restarted, does not say whether it is cold. A target whose cold time stays unknown counts as cold until it has answered for as long as it stays cold after a start. Metric and log line: probes{result}, 'a response on the connection of a probe was of another request'.

--- a/node/answer/dialect.go
+++ b/node/answer/dialect.go
@@ -28,6 +28,7 @@
 type Dialect struct {
 	RequestIDHeader      string // request ID, chosen by the caller
 	EchoRequestID        bool   // targets return the request ID in their responses
+	ProbesNameTarget     bool   // targets state their name in the responses to probes
 	DeadlineHeader       string // remaining milliseconds of a request
 	AccountHeader        string // account of a request, sent to the target
 	CallerServiceHeader  string // service of the target beside the entry node, sent to the target
--- a/node/daemon/probe.go
+++ b/node/daemon/probe.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 
+	"verbenapin.dev/node/journal"
 	"verbenapin.dev/node/target"
 )
 
@@ -21,10 +21,6 @@
 	return budget
 }
 
-// maxProbeBody is how much of the body of a probe's response is read, in bytes. Health responses have some hundred; a target in trouble
-// may send bytes without end.
-const maxProbeBody = 64 << 10
-
 // defaultProbePath is the path of probes unless the service has one of its own.
 const defaultProbePath = "/probe"
 
@@ -43,16 +39,23 @@
 		n.metrics.CountProbe("lost")
 		return target.ProbeResult{Cost: n.clock.Now().Sub(start)}, err
 	}
-	n.metrics.CountProbe(probeResultLabel(res.StatusCode))
-	// Closing a body that is longer closes its connection.
-	_, _ = io.CopyN(io.Discard, res.Body, maxProbeBody)
-	_ = res.Body.Close()
-	return target.ProbeResult{Cost: n.clock.Now().Sub(start), Report: n.forwarder.Dialect.Report(res.Header)}, nil
+	result, err := target.ReadProbe(n.forwarder.Dialect, res)
+	result.Cost = n.clock.Now().Sub(start)
+	if err != nil {
+		n.metrics.CountProbe("mismatched")
+		n.journal.WarnRecurring("a response on the connection of a probe was of another request", journal.Cause(err))
+		return result, fmt.Errorf("daemon: reading a probe: %w", err)
+	}
+	n.metrics.CountProbe(probeResultLabel(res.StatusCode, result.TellsCold))
+	return result, nil
 }
 
-func probeResultLabel(status int) string {
-	if status >= http.StatusInternalServerError {
+func probeResultLabel(status int, tellsCold bool) string {
+	switch {
+	case status >= http.StatusInternalServerError:
 		return "failed"
+	case !tellsCold:
+		return "unnamed"
 	}
 	return "answered"
 }
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -225,8 +225,9 @@
 	n.updateNodes(now, tree)
 	inst, ok := n.ownTarget()
 	if ok {
+		service := tree.Service(inst.Service)
 		n.admission.SetRegistration(now, target.Registration{
-			Name: inst.Name, StartedAt: inst.StartedAt, Slots: inst.Slots, ColdRate: n.platform.coldRate(tree.Service(inst.Service).ColdRate),
+			Name: inst.Name, StartedAt: inst.StartedAt, Slots: inst.Slots, ColdRate: n.platform.coldRate(service.ColdRate), WarmUp: service.WarmUp,
 		})
 	}
 	n.admission.SetLeavingOnLoop(now, n.isLeaving() || (ok && inst.State == instance.StateLeaving))
--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -16,12 +17,6 @@
 // probeCheckInterval is the time between two checks of whether a probe is due.
 const probeCheckInterval = 100 * time.Millisecond
 
-// ProbeResult is the cost of a probe and what the target reported in its response.
-type ProbeResult struct {
-	Cost   time.Duration // target time that the probe used
-	Report answer.TargetReport
-}
-
 // Admission keeps the gate on the control goroutine and lets traffic goroutines wait for its decisions.
 type Admission struct {
 	// OnAnnounce is called on the control goroutine when the target announces another rate or that it is leaving, or no longer does;
@@ -293,14 +288,14 @@
 
 // checkProbe sends a probe if one is due; it runs on the goroutine of the clock subscription.
 func (a *Admission) checkProbe() {
-	due := false
+	due, doubts := false, 0
 	err := a.loop.Call(context.Background(), func(now time.Time) {
 		if due = a.probeDue(now); due {
-			a.probe = a.probe.WithProbe(now)
+			a.probe, doubts = a.probe.WithProbe(now), a.gate.state.Doubts()
 		}
 	})
 	if err == nil && due {
-		a.runProbe()
+		a.runProbe(doubts)
 	}
 }
 
@@ -311,11 +306,13 @@
 		return
 	}
 	a.probe = a.probe.WithProbe(now)
-	a.waiterProbes.Go(a.runProbe)
+	doubts := a.gate.state.Doubts()
+	a.waiterProbes.Go(func() { a.runProbe(doubts) })
 }
 
-// runProbe sends a probe and applies its result.
-func (a *Admission) runProbe() {
+// runProbe sends a probe and applies its result. The target may have restarted since it was sent, which the present number of doubts
+// shows; the response then does not say whether the target is cold.
+func (a *Admission) runProbe(doubts int) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.currentProbeTimeout())
 	defer cancel()
 	result, err := a.sendProbe(ctx)
@@ -323,12 +320,14 @@
 	// The error needs no handling: the loop closes after the probes have ended.
 	_ = a.loop.Call(context.Background(), func(now time.Time) {
 		a.probe = a.probe.WithResult(result.Cost)
-		if err != nil {
-			a.gate = a.gate.WithUnreachable(now)
-			a.deliver(now, nil)
+		switch {
+		case err == nil:
+			a.handleReport(now, result.Report, result.TellsCold && doubts == a.gate.state.Doubts())
 			return
+		case !errors.As(err, &MismatchError{}):
+			a.gate = a.gate.WithUnreachable(now)
 		}
-		a.handleReport(now, result.Report, true)
+		a.deliver(now, nil)
 	})
 }
 
--- a/node/target/forwarder.go
+++ b/node/target/forwarder.go
@@ -167,9 +167,8 @@
 func (f *Forwarder) verifyResponse(c Call, res *http.Response) (*http.Response, error) {
 	d := f.Dialect
 	// Checked first, since a refusal of an earlier request says nothing about this one, and neither does what it reports.
-	if d.EchoRequestID && res.Header.Get(d.RequestIDHeader) != c.Request.Header.Get(d.RequestIDHeader) {
-		closeConnection(res)
-		return nil, SendError{Err: MismatchError{Reason: "its request ID differs"}, Wrote: true}
+	if err := verifyID(d, res, c.Request.Header.Get(d.RequestIDHeader)); err != nil {
+		return nil, SendError{Err: err, Wrote: true}
 	}
 	var err error
 	switch {
@@ -187,6 +186,15 @@
 	return nil, err
 }
 
+// verifyID closes the connection of a response that belongs to another request, and returns a MismatchError; id is empty for a probe.
+func verifyID(d answer.Dialect, res *http.Response, id string) error {
+	if !d.EchoRequestID || res.Header.Get(d.RequestIDHeader) == id {
+		return nil
+	}
+	closeConnection(res)
+	return MismatchError{Reason: "its request ID differs"}
+}
+
 // attemptError reports a failed attempt to the gate and returns the refusal for the sender.
 func attemptError(ctx context.Context, err error, late bool, took time.Duration, finish func(Outcome)) error {
 	var sendErr SendError
--- a/node/target/probe.go
+++ b/node/target/probe.go
@@ -1,6 +1,12 @@
 package target
 
-import "time"
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"verbenapin.dev/node/answer"
+)
 
 const (
 	initialProbeCost = 6 * time.Millisecond // assumed until a probe was measured; the first targets declare this cost
@@ -18,6 +24,30 @@
 	reportTimeout         = 500 * time.Millisecond // a self-reporting target that takes longer counts as not answering
 )
 
+// maxProbeBody is how much of the body of a probe's response is read, in bytes. Health responses have some hundred; a target in trouble
+// may send bytes without end.
+const maxProbeBody = 64 << 10
+
+// ProbeResult is the cost of a probe and what the target reported in its response.
+type ProbeResult struct {
+	Cost      time.Duration // target time that the probe used
+	Report    answer.TargetReport
+	TellsCold bool // the report also says whether the target is cold
+}
+
+// ReadProbe reads and closes the response to a probe. A response that does not name its target, as from one that is full, does not say
+// whether the target is cold. A MismatchError reports the response to another request, which says nothing about the target's present state.
+func ReadProbe(d answer.Dialect, res *http.Response) (ProbeResult, error) {
+	if err := verifyID(d, res, ""); err != nil {
+		return ProbeResult{}, err
+	}
+	// Closing a body that is longer closes its connection.
+	_, _ = io.CopyN(io.Discard, res.Body, maxProbeBody)
+	_ = res.Body.Close()
+	r := d.Report(res.Header)
+	return ProbeResult{Report: r, TellsCold: !d.ProbesNameTarget || r.Instance != ""}, nil
+}
+
 // ProbeState holds the times and costs that determine when the next probe is sent.
 type ProbeState struct {
 	sent         time.Time // start of the last probe, or the start of the node
--- a/node/target/state.go
+++ b/node/target/state.go
@@ -36,6 +36,8 @@
 	StartedAt time.Time
 	Slots     int     // concurrent requests that it has capacity for when warm, zero if unknown
 	ColdRate  float64 // requests per second that it has capacity for while cold, zero if unknown
+	// WarmUp is how long it stays cold after its start, zero if unknown.
+	WarmUp time.Duration
 }
 
 // DiffersFrom reports whether the registration is known to be of another target than the named one; an empty name stands for any.
@@ -54,7 +56,9 @@
 	slowSince     time.Time     // start of the present slow phase, zero if there is none
 	meanSlowPhase time.Duration // mean length of slow phases, zero until one has ended
 	coldUntil     time.Time     // when the target becomes warm
-	coldUnknown   bool          // the target may have restarted since it was last probed
+	coldUnknown   bool          // the target may have restarted since a probe last said whether it is cold
+	doubts        int           // times that it may have restarted
+	heardAt       time.Time     // first report since coldUnknown was set
 	starts        []time.Time   // starts of requests within coldWindow
 	announced     Announcement
 	pacer         pacer // keeps to the announced rate
@@ -67,7 +71,7 @@
 // values are reset.
 func (s State) WithRegistration(r Registration) State {
 	if s.registration.Name != r.Name || !s.registration.StartedAt.Equal(r.StartedAt) {
-		s = State{starts: s.starts, coldUnknown: true} // the announcement was that of another start
+		s = State{starts: s.starts, doubts: s.doubts}.WithPossibleRestart() // the announcement was that of another start
 	}
 	s.registration = r
 	return s
@@ -75,16 +79,22 @@
 
 // WithPossibleRestart returns the state of a target that may have restarted.
 func (s State) WithPossibleRestart() State {
-	s.coldUnknown = true
+	s.coldUnknown, s.heardAt, s.doubts = true, time.Time{}, s.doubts+1
 	return s
 }
 
-// WithReport returns the state after a report of the target; probed is set if it came with the response to a probe. Only
-// these say whether the target is cold.
+// Doubts returns how often the target may have restarted.
+func (s State) Doubts() int { return s.doubts }
+
+// WithReport returns the state after a report of the target; probed is set if it came with a response to a probe that says whether the
+// target is cold.
 func (s State) WithReport(now time.Time, r answer.TargetReport, probed bool) State {
 	if !s.registration.DiffersFrom(r.Instance) {
 		s = s.withAnnouncement(now, s.announced.WithReport(now, r, probed))
 	}
+	if s.coldUnknown && s.heardAt.IsZero() {
+		s.heardAt = now
+	}
 	if r.HasLoad {
 		s.slowdown, s.loadAt = r.Slowdown, now
 		if s.meanSlowdown == 0 {
@@ -158,8 +168,14 @@
 // DiffersFrom reports whether the target is known to have another name than the given one, which may be empty for any.
 func (s State) DiffersFrom(name string) bool { return name != "" && s.name != "" && s.name != name }
 
-// IsCold reports whether the target is or may be cold.
-func (s State) IsCold(now time.Time) bool { return s.coldUnknown || now.Before(s.coldUntil) }
+// IsCold reports whether the target is or may be cold. A target that no probe tells of counts as cold until it has answered for as long as
+// it stays cold after a start.
+func (s State) IsCold(now time.Time) bool {
+	if s.coldUnknown {
+		return s.registration.WarmUp <= 0 || s.heardAt.IsZero() || now.Sub(s.heardAt) < s.registration.WarmUp
+	}
+	return now.Before(s.coldUntil)
+}
 
 // StartRate returns the requests per second that may start at present, zero for any number.
 func (s State) StartRate(now time.Time) float64 {
--- a/node/target/state_test.go
+++ b/node/target/state_test.go
@@ -51,6 +51,8 @@
 	warm := report(fresh, 0, true)
 	restarted := coldRegistration
 	restarted.StartedAt = start
+	warmsUp, warmsUpLater := coldRegistration, coldRegistration
+	warmsUp.WarmUp, warmsUpLater.WarmUp = ms(500), ms(501)
 	cases := map[string]struct {
 		state State
 		want  bool
@@ -62,6 +64,9 @@
 		"may have restarted":   {state: warm.WithPossibleRestart(), want: true},
 		"another start":        {state: warm.WithRegistration(restarted), want: true},
 		"the same start":       {state: warm.WithRegistration(coldRegistration)},
+		"not told for long":    {state: report(State{}.WithRegistration(warmsUp), 0, false), want: false},
+		"not told for a while": {state: report(State{}.WithRegistration(warmsUpLater), 0, false), want: true},
+		"doubted again":        {state: report(State{}.WithRegistration(warmsUp), 0, false).WithPossibleRestart(), want: true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, tc.state.IsCold(start.Add(ms(500)))) })
