target: refuse requests at the gate once the target's entry is removed

Cause: the gate beside a target took it for leaving only while its entry said so. Targets that never report draining are only removed, and without an entry the gate stayed as it was: it ran whatever a sender that did not know yet sent on. Requests that waited at the gate could start seconds later. Fix: the gate follows its own target's listing: leaving or gone, it refuses new requests as not run, and those in its queue may start for another 0.5 s. An entry that may only have lapsed while the registry was down counts as leaving once a probe finds the target unhealthy.

--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -69,9 +69,10 @@
 	complete      chan struct{} // closed when a configuration and targets are known
 	completeOnce  sync.Once
 	evacuated     atomic.Pointer[[]string]
-	nodes         []string // names last passed to the feed and the limiter
-	leavingNodes  []string // last passed to the limiter
-	configVersion int64    // last passed to the limiter
+	nodes         []string       // names last passed to the feed and the limiter
+	leavingNodes  []string       // last passed to the limiter
+	configVersion int64          // last passed to the limiter
+	listing       target.Listing // last passed to the gate
 }
 
 // evacuatedDomains returns the failure domains that are evacuated; any goroutine may call it.
@@ -151,7 +152,11 @@
 	n.registryState.targets = targets
 	if listChanged || evacuationChanged {
 		n.members.SetList(now, targets.List())
+		return
 	}
+	// An entry that lapses, or is back, leaves the list as it was.
+	own, ok := n.ownTarget()
+	n.setListing(now, own, ok)
 }
 
 // logTargets logs the changes of targets before they are applied; entries that were only written again are left out.
@@ -230,7 +235,8 @@
 			Name: inst.Name, StartedAt: inst.StartedAt, Slots: inst.Slots, ColdRate: n.platform.coldRate(service.ColdRate), WarmUp: service.WarmUp,
 		})
 	}
-	n.admission.SetLeavingOnLoop(now, n.isLeaving() || (ok && inst.State == instance.StateLeaving))
+	n.admission.SetLeavingOnLoop(now, n.isLeaving())
+	n.setListing(now, inst, ok)
 	n.admission.SetEvacuated(now, slices.Contains(n.registryState.evacuatedDomains(), n.settings.Domain))
 }
 
@@ -297,6 +303,35 @@
 	return own, found
 }
 
+// setListing tells the gate what the registry says of the target beside this node; listed is whether the registry has it, or may have lost
+// it only because its entry expired.
+func (n *Node) setListing(now time.Time, own instance.Instance, listed bool) {
+	registered, _ := n.admission.Target()
+	listing := listingOf(n.registryState.targets, own, listed, registered != "")
+	if listing != n.registryState.listing {
+		snapshot := n.feed.Snapshot()
+		n.journal.Info("listing of the target beside the node changed", journal.Instance(registered), journal.TargetState(string(listing)),
+			journal.Revision(snapshot.Revision()), journal.Age(snapshot.Age(now)))
+	}
+	n.registryState.listing = listing
+	n.admission.SetListing(now, listing)
+}
+
+// listingOf returns what the registry says of a target; known is whether it was listed before.
+func listingOf(targets registry.Targets, own instance.Instance, listed, known bool) target.Listing {
+	switch {
+	case !listed && known:
+		return target.ListingGone
+	case !listed:
+		return target.ListingUnknown
+	case own.State == instance.StateLeaving:
+		return target.ListingLeaving
+	case targets.HasLapsed(own.Name):
+		return target.ListingLapsed
+	}
+	return target.ListingPresent
+}
+
 // adaptToPlatform sets the platform's dialect, rerouting, retry budget and load reports.
 func (n *Node) adaptToPlatform(d answer.Dialect) {
 	n.callerServer.Dialect, n.callerServer.LocalService = d, func() string { return n.currentSettings().service }
--- a/node/daemon/registry_test.go
+++ b/node/daemon/registry_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"verbenapin.dev/node/config"
 	"verbenapin.dev/node/instance"
+	"verbenapin.dev/node/registry"
+	"verbenapin.dev/node/target"
 )
 
 // TestNodeInstances guards against a node that does not exist and becomes the home of an account, and against a node that is
@@ -80,3 +83,43 @@
 		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, tc.platform.coldRate(tc.configured)) })
 	}
 }
+
+// TestListingOf guards against a gate that does not know that the entry of its target was removed, and against one that refuses requests at
+// a target whose entry may only have expired while the registry was down, or that it has not heard of yet.
+func TestListingOf(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const key = "servers/i"
+	own := instance.Instance{Name: "i", Node: "n", Service: "s"}
+	leaving := own
+	leaving.State = instance.StateLeaving
+	present := registry.TargetChange{Key: key, Revision: 1, Target: &own}
+	removed := registry.TargetChange{Key: key, Revision: 2}
+	cases := map[string]struct {
+		changes     []registry.TargetChange
+		recoveredAt time.Time
+		known       bool
+		want        target.Listing
+	}{
+		"before the first read":  {want: target.ListingUnknown},
+		"listed":                 {changes: []registry.TargetChange{present}, want: target.ListingPresent},
+		"leaving":                {changes: []registry.TargetChange{{Key: key, Revision: 1, Target: &leaving}}, known: true, want: target.ListingLeaving},
+		"removed":                {changes: []registry.TargetChange{present, removed}, known: true, want: target.ListingGone},
+		"removed after a gap":    {changes: []registry.TargetChange{present, removed}, recoveredAt: now.Add(-time.Second), known: true, want: target.ListingLapsed},
+		"back after a gap":       {changes: []registry.TargetChange{present, removed, {Key: key, Revision: 3, Target: &own}}, recoveredAt: now.Add(-time.Second), known: true, want: target.ListingPresent},
+		"removed long after one": {changes: []registry.TargetChange{present, removed}, recoveredAt: now.Add(-time.Minute), known: true, want: target.ListingGone},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var targets registry.Targets
+			for _, c := range tc.changes {
+				targets, _ = targets.WithChanges(now, []registry.TargetChange{c}, tc.recoveredAt)
+			}
+			var inst instance.Instance
+			list := targets.List()
+			if len(list) > 0 {
+				inst = list[0]
+			}
+			require.Equal(t, tc.want, listingOf(targets, inst, len(list) > 0, tc.known))
+		})
+	}
+}
--- a/node/registry/targets.go
+++ b/node/registry/targets.go
@@ -240,6 +240,16 @@
 	return false
 }
 
+// HasLapsed reports whether the target with the given name has no entry and is kept only until its grace ends.
+func (t Targets) HasLapsed(name string) bool {
+	for _, e := range t.entries {
+		if e.target.Name == name {
+			return !e.graceEnd.IsZero()
+		}
+	}
+	return false
+}
+
 // address identifies the place of a target: its node and its service.
 type address struct{ node, service string }
 
--- a/node/target/admission.go
+++ b/node/target/admission.go
@@ -158,6 +158,12 @@
 	a.deliver(now, nil)
 }
 
+// SetListing applies what the list of targets says of the target; it runs on the control goroutine.
+func (a *Admission) SetListing(now time.Time, l Listing) {
+	a.gate = a.gate.WithListing(now, l)
+	a.deliver(now, nil)
+}
+
 // SetEvacuated sets whether the target's failure domain is evacuated; it runs on the control goroutine.
 func (a *Admission) SetEvacuated(now time.Time, evacuated bool) {
 	a.gate = a.gate.WithEvacuated(now, evacuated)
@@ -322,6 +328,9 @@
 		a.probe = a.probe.WithResult(result.Cost)
 		switch {
 		case err == nil:
+			if result.TellsHealth {
+				a.gate = a.gate.WithHealth(now, result.Healthy)
+			}
 			a.handleReport(now, result.Report, result.TellsCold && doubts == a.gate.state.Doubts())
 			return
 		case !errors.As(err, &MismatchError{}):
--- a/node/target/gate.go
+++ b/node/target/gate.go
@@ -33,6 +33,9 @@
 	running      []activeRequest // ordered by start
 	displaced    []Decision      // refusals of displaced requests, returned with the next event
 	leaving      bool
+	listing      Listing
+	unhealthy    bool      // by the last probe that told
+	departedAt   time.Time // since when the target leaves by its listing, zero if it does not
 	evacuated    bool
 	retriedShare float64
 	unreachable  bool // a self-reporting target could not be reached and has sent no report since
@@ -97,7 +100,7 @@
 	return Parent{Route: r.Route, Priority: r.Priority, SoftDeadline: r.SoftDeadline, LatencyObjective: r.LatencyObjective, Retried: r.Retried}, at, true
 }
 
-// WithLeaving returns the gate of a target that is leaving, or no longer is; waiting requests are still served.
+// WithLeaving returns the gate of a node that is leaving, or no longer is; waiting requests are still served.
 func (g Gate) WithLeaving(leaving bool) Gate {
 	g.leaving = leaving
 	return g
@@ -139,8 +142,10 @@
 	}
 }
 
-// isLeaving reports whether the target is registered as leaving or says so itself.
-func (g Gate) isLeaving() bool { return g.leaving || g.state.announced.IsLeaving() }
+// isLeaving reports whether the node is leaving, or the target by its listing or its own word.
+func (g Gate) isLeaving() bool {
+	return g.leaving || !g.departedAt.IsZero() || g.state.announced.IsLeaving()
+}
 
 // reportedLimit returns the concurrent requests that senders should expect the target to have capacity for. At an announced rate it
 // runs that rate times the service time at once (Little's law), however many slots it has.
--- a/node/target/probe.go
+++ b/node/target/probe.go
@@ -33,6 +33,8 @@
 	Cost      time.Duration // target time that the probe used
 	Report    answer.TargetReport
 	TellsCold bool // the report also says whether the target is cold
+	// TellsHealth is whether the response says that the target is Healthy or not; one that did not run the probe does not.
+	TellsHealth, Healthy bool
 }
 
 // ReadProbe reads and closes the response to a probe. A response that does not name its target, as from one that is full, does not say
@@ -45,7 +47,10 @@
 	_, _ = io.CopyN(io.Discard, res.Body, maxProbeBody)
 	_ = res.Body.Close()
 	r := d.Report(res.Header)
-	return ProbeResult{Report: r, TellsCold: !d.ProbesNameTarget || r.Instance != ""}, nil
+	return ProbeResult{
+		Report: r, TellsCold: !d.ProbesNameTarget || r.Instance != "",
+		TellsHealth: !d.NotExecuted(res), Healthy: res.StatusCode < http.StatusMultipleChoices,
+	}, nil
 }
 
 // ProbeState holds the times and costs that determine when the next probe is sent.
--- a/node/target/schedule.go
+++ b/node/target/schedule.go
@@ -19,6 +19,7 @@
 		if !g.state.IsFresh(now) && !w.waitedForReport(now) {
 			at = earlierOf(at, w.arrived.Add(maxReportWait))
 		}
+		at = earlierOf(at, g.lastStart())
 		if due.IsZero() || at.Before(due) {
 			due = at
 		}
@@ -217,6 +218,8 @@
 		switch {
 		case !w.request.Deadline.IsZero() && !now.Before(w.request.Deadline):
 			decisions = append(decisions, refuse(w.request.ID, answer.CodeLate, 0, "the deadline passed in the queue"))
+		case !g.departedAt.IsZero() && !now.Before(g.lastStart()):
+			decisions = append(decisions, refuse(w.request.ID, answer.CodeLeaving, leavingRetryAfter, "the target is leaving"))
 		case !now.Before(g.expiry(now, w)):
 			decisions = append(decisions, refuse(w.request.ID, answer.CodeBusy, g.expectedWait(now, w.request), "the request waited too long in the queue"))
 		default:
