--- a/node/daemon/probe.go
+++ b/node/daemon/probe.go
@@ -34,7 +34,7 @@
 		return target.ProbeResult{}, fmt.Errorf("daemon: making a probe: %w", err)
 	}
 	start := n.clock.Now()
-	res, err := n.transport.RoundTrip(r)
+	res, err := n.transport.RoundTrip(r) //nolint:bodyclose // ReadProbe closes it
 	if err != nil {
 		n.metrics.CountProbe("lost")
 		return target.ProbeResult{Cost: n.clock.Now().Sub(start)}, err
--- a/node/peer/head_limit_test.go
+++ b/node/peer/head_limit_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -34,19 +33,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := NewServer(time.Now, nil, nil, func() target.Load { return target.Load{} }, log.New(io.Discard, "", 0))
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			ended := make(chan struct{})
-			go func() {
-				_ = s.Serve(l)
-				close(ended)
-			}()
-			defer func() {
-				s.Close()
-				<-ended
-			}()
-			c, err := net.Dial("tcp", l.Addr().String())
-			require.NoError(t, err)
+			c := dialServer(t, s)
 			defer c.Close()
 			br := bufio.NewReader(c)
 			for i, request := range tc.send {
--- a/node/peer/sender_test.go
+++ b/node/peer/sender_test.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"io"
 	"log"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -64,23 +63,11 @@
 				}
 				return target.Reply{}, answer.NewNotExecuted(answer.CodeLate, "the caller has gone")
 			}, func() target.Load { return target.Load{} }, log.New(io.Discard, "", 0))
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			ended := make(chan struct{})
-			go func() {
-				_ = s.Serve(l)
-				close(ended)
-			}()
-			defer func() {
-				s.Close()
-				<-ended
-			}()
-			c, err := net.Dial("tcp", l.Addr().String())
-			require.NoError(t, err)
+			c := dialServer(t, s)
 			if tc.tls {
 				c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
 			}
-			_, err = c.Write(requestBytes(t, tc.length, tc.sent, tc.expects))
+			_, err := c.Write(requestBytes(t, tc.length, tc.sent, tc.expects))
 			require.NoError(t, err)
 			<-waiting
 			require.NoError(t, c.Close())
--- a/node/peer/server_test.go
+++ b/node/peer/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,25 @@
 	"verbenapin.dev/node/target"
 )
 
+// dialServer serves s on loopback until the test ends and returns a connection to it.
+func dialServer(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended := make(chan struct{})
+	go func() {
+		_ = s.Serve(l)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		s.Close()
+		<-ended
+	})
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	return c
+}
+
 // TestCrowdedServer guards against idle connections of other nodes that stay open although there is hardly room for more, and
 // against closing them while a request may be on its way.
 func TestCrowdedServer(t *testing.T) {
