--- a/node/caller/memory.go
+++ b/node/caller/memory.go
@@ -53,7 +53,7 @@
 	return c.decide(memory.Claim{Kind: k, Bytes: bytes, Conn: others, Parallel: c.parallel})
 }
 
-// decide takes the memory of a claim if the budget allows it.
+// decide takes the memory of a claim if the budget allows it, whatever the claim says of what is kept.
 func (c *conn) decide(claim memory.Claim) memory.Verdict {
 	s, k, bytes := c.server, claim.Kind, claim.Bytes
 	kept := s.kept.Add(k, bytes)
