http1: refuse responses with a malformed head

Callers saw: responses in whose head the name of a field held a blank, or whose line began with one, came through as 200. The line was dropped, joined to the one before or passed on. If it was the length or the coding, the body was whatever came until the end of the connection.

Cause: net/textproto lets blanks in names pass and joins a line that begins with a blank to the one before it; net/http's client does not check names (its server does). Nothing on our side looked at the head again.

Hypotheses: (1) that. (2) The relay to the caller spoils the name or adds the body; refuted: the response that the transport returns has lost the length already. (3) Only the length and the coding are concerned; refuted: any field may be joined to another one, and the store's era was lost in the same way.

Change: package http1 has the one transport for all requests to servers of HTTP/1.1. Its connections check each head byte by byte before net/http sees it, those of informational responses too, and over TLS above it; the bytes before the fault are passed on, so that the result does not depend on where reads divide a head. Names of trailer fields are checked at the end of the body. A malformed head gives 502, run maybe, and closes the connection; the gate counts it as a lost response. Lines that begin with a blank are rejected (RFC 9112, 5.2 allows that or a space in their place; docs/design.md says why). The status of a final response is checked there as well, once for all readers: the target for requests and probes, other nodes, the platform's store, the configuration service and the instance list, verbctl, the load generator and the fleet of measure.

The connection that counts written bytes and the check of the status in target, peer and kv move into the new package. The tests for status 000 are kept; they passed before for target, peer and caller, and a case for the store that passed before is added.

Failed before, on: TestSpoiltHead 11 of 24 cases (blanks in names of heads, informational heads and trailers, folded lines; control bytes were refused already), TestUnusableResponse of peer 3 of 6, of kv 2 of 4. A trial of the new connection that read on after a fault hung in the folded case of peer, where the server keeps the connection open.

--- a/ctl/admin/client.go
+++ b/ctl/admin/client.go
@@ -11,7 +11,9 @@
 	"sync"
 	"time"
 
+	"verbenapin.dev/node/http1"
 	"verbenapin.dev/node/operator/report"
+	"verbenapin.dev/node/tcp"
 )
 
 const (
@@ -34,7 +36,8 @@
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}, Timeout: timeout}}
+	transport := http1.NewTransport(&http.Transport{IdleConnTimeout: time.Minute}, tcp.NewDial(timeout))
+	return &Client{http: &http.Client{Transport: transport, Timeout: timeout}}
 }
 
 // Close closes idle connections.
--- a/measure/fleet/fleet.go
+++ b/measure/fleet/fleet.go
@@ -16,8 +16,10 @@
 	"verbenapin.dev/measure/deployment"
 	"verbenapin.dev/measure/platform"
 	"verbenapin.dev/measure/upstream"
+	"verbenapin.dev/node/http1"
 	"verbenapin.dev/node/instance"
 	"verbenapin.dev/node/loop"
+	"verbenapin.dev/node/tcp"
 )
 
 const (
@@ -45,6 +47,7 @@
 // Fleet is a running deployment; its methods must be called from one goroutine.
 type Fleet struct {
 	Platform       *platform.Server
+	client         *http.Client // of the nodes' admin listeners
 	settings       Settings
 	loop           *loop.Loop
 	loopDone       sync.WaitGroup
@@ -71,7 +74,7 @@
 // Start runs a deployment and waits until all nodes are ready; on an error it stops everything that it has started.
 func Start(ctx context.Context, settings Settings) (*Fleet, error) {
 	f := &Fleet{
-		Platform: platform.New(), settings: settings, loop: loop.New(time.Now), processes: map[string]*Process{},
+		Platform: platform.New(), client: &http.Client{Transport: http1.NewTransport(&http.Transport{}, tcp.NewDial(0))}, settings: settings, loop: loop.New(time.Now), processes: map[string]*Process{},
 		targets: map[string]*upstream.Server{}, entryAddrs: map[string]string{}, platformAddrs: map[string]string{}, leaving: map[string]bool{},
 	}
 	f.loopDone.Go(func() { _ = f.loop.Serve(context.Background()) })
@@ -465,7 +468,7 @@
 	f.Platform.Close()
 	f.loop.Close()
 	f.loopDone.Wait()
-	http.DefaultClient.CloseIdleConnections()
+	f.client.CloseIdleConnections()
 }
 
 // Poll waits until done returns true or ctx ends.
--- a/measure/fleet/stats.go
+++ b/measure/fleet/stats.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return fmt.Errorf("fleet: sending a request to %s: %w", name, err)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := f.client.Do(req)
 	if err != nil {
 		return fmt.Errorf("fleet: sending a request to %s: %w", name, err)
 	}
--- a/measure/load/request.go
+++ b/measure/load/request.go
@@ -18,6 +18,7 @@
 
 	"verbenapin.dev/measure/history"
 	"verbenapin.dev/measure/upstream"
+	"verbenapin.dev/node/http1"
 	"verbenapin.dev/node/tcp"
 )
 
@@ -101,9 +102,9 @@
 func NewCaller(timeout time.Duration) Caller {
 	return Caller{client: &http.Client{
 		Timeout: timeout,
-		Transport: &http.Transport{
-			DialContext: tcp.NewDial(2 * time.Second), MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-		},
+		Transport: http1.NewTransport(&http.Transport{
+			MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		}, tcp.NewDial(2*time.Second)),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -20,6 +21,7 @@
 	"verbenapin.dev/node/config"
 	configrpc "verbenapin.dev/node/config/rpc"
 	configpb "verbenapin.dev/node/config/rpc/pb"
+	"verbenapin.dev/node/http1"
 	"verbenapin.dev/node/instance"
 	"verbenapin.dev/node/instance/rpc"
 	"verbenapin.dev/node/instance/rpc/pb"
@@ -129,6 +131,20 @@
 	return s
 }
 
+// Limits of connections to the configuration service and the instance list, as in http.DefaultTransport.
+const (
+	serviceDialTimeout      = 30 * time.Second
+	serviceHandshakeTimeout = 10 * time.Second
+	serviceIdleTimeout      = 90 * time.Second
+)
+
+// newServiceClient returns the client that reads the configuration service and the instance list.
+func newServiceClient() *http.Client {
+	return &http.Client{Transport: http1.NewTransport(&http.Transport{
+		Proxy: http.ProxyFromEnvironment, TLSHandshakeTimeout: serviceHandshakeTimeout, IdleConnTimeout: serviceIdleTimeout,
+	}, tcp.NewDial(serviceDialTimeout))}
+}
+
 func (n *Node) newStore(files []config.File) (*config.Store, error) {
 	s := config.Settings{
 		Name: n.settings.Name, BootID: n.bootID, Loop: n.loop, Clock: n.clock, Random: rand.IntN,
--- a/node/daemon/node.go
+++ b/node/daemon/node.go
@@ -148,7 +148,7 @@
 	if n.tracer, err = n.newTracer(); err != nil {
 		return err
 	}
-	n.httpClient = &http.Client{}
+	n.httpClient = newServiceClient()
 	n.link = link.New(s.Link)
 	n.members = instance.NewMembers(n.memberSettings())
 	if n.store, err = n.newStore(files); err != nil {
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/http1"
 	"verbenapin.dev/node/target"
 	"verbenapin.dev/node/tcp"
 )
@@ -50,7 +50,7 @@
 	// Dial opens a connection to another node; it must not change after the first request.
 	Dial tcp.Dial
 
-	http   *http.Transport
+	http   http1.Transport
 	scheme string
 	now    func() time.Time
 }
@@ -58,31 +58,28 @@
 // NewClient returns a client; address returns the address where a node accepts requests of other nodes. If cfg is nil, the
 // connections use no TLS.
 func NewClient(now func() time.Time, cfg *tls.Config, address func(name string) (string, bool)) *Client {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
 	scheme := "https"
 	if cfg == nil {
 		scheme = "http"
 	}
 	c := &Client{Dial: tcp.NewDial(dialTimeout), now: now, scheme: scheme}
-	c.http = &http.Transport{
-		DialContext: func(ctx context.Context, network, hostport string) (net.Conn, error) {
-			name, _, err := net.SplitHostPort(hostport)
-			if err != nil {
-				return nil, fmt.Errorf("peer: reading an address: %w", err)
-			}
-			if cfg == nil {
-				name = hostport // without TLS, nodes are named by their addresses
-			}
-			addr, ok := address(name)
-			if !ok {
-				return nil, AddressError{Name: name}
-			}
-			return c.Dial(ctx, network, addr)
-		},
+	dial := func(ctx context.Context, network, hostport string) (net.Conn, error) {
+		name, _, err := net.SplitHostPort(hostport)
+		if err != nil {
+			return nil, fmt.Errorf("peer: reading an address: %w", err)
+		}
+		if cfg == nil {
+			name = hostport // without TLS, nodes are named by their addresses
+		}
+		addr, ok := address(name)
+		if !ok {
+			return nil, AddressError{Name: name}
+		}
+		return c.Dial(ctx, network, addr)
+	}
+	c.http = http1.NewTransport(&http.Transport{
 		TLSClientConfig:        cfg,
 		TLSHandshakeTimeout:    dialTimeout,
-		Protocols:              protocols,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		ExpectContinueTimeout:  continueTimeout,
@@ -90,7 +87,7 @@
 		MaxIdleConnsPerHost:    maxIdleConns,
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
-	}
+	}, dial)
 	return c
 }
 
@@ -101,7 +98,6 @@
 // answer.Refusal.
 func (c *Client) Do(name string, call target.Call) (target.Reply, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	// The context ends with that of the attempt; it is cancelled earlier only while there is no connection.
 	ctx, cancel := context.WithCancelCause(call.Request.Context())
 	timer := time.AfterFunc(connectTimeout(call.Deadline.Sub(c.now())), func() {
@@ -110,7 +106,7 @@
 		}
 	})
 	defer timer.Stop()
-	out := call.Request.WithContext(httptrace.WithClientTrace(ctx, trace))
+	out := call.Request.WithContext(ctx)
 	out.RequestURI = ""
 	out.URL = target.RequestURL(call.Request, c.scheme, name)
 	encodeCall(out.Header, call, c.now())
@@ -121,7 +117,7 @@
 		out.Header.Set("Expect", "100-continue")
 	}
 	target.PreventResend(out)
-	res, err := c.http.RoundTrip(out)
+	res, err := c.http.Send(out, func(*http1.Conn) { connected.Store(true) })
 	if err != nil {
 		if cause := context.Cause(call.Request.Context()); cause != nil {
 			err = cause
@@ -132,10 +128,6 @@
 		}
 		return target.Reply{}, refusalFor(err, connected.Load())
 	}
-	if err := answer.CheckFinal(res); err != nil {
-		_ = res.Body.Close()
-		return target.Reply{}, refusalFor(err, true)
-	}
 	return decodeReply(res)
 }
 
--- a/node/peer/status_test.go
+++ b/node/peer/status_test.go
@@ -14,13 +14,16 @@
 	"verbenapin.dev/node/target"
 )
 
-// TestUnexpectedStatus guards against a status of another node's response that no final response may have: neither the client nor
-// the server between nodes may take it for a response of the target.
-func TestUnexpectedStatus(t *testing.T) {
+// TestUnusableResponse guards against a response of another node whose status no final response may have or whose head is malformed:
+// neither the client nor the server between nodes may take it for a response of the target.
+func TestUnusableResponse(t *testing.T) {
 	cases := map[string]string{
 		"switching protocols": "101 x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
 		"zero":                "000 x\r\nContent-Length: 0\r\n\r\n",
 		"600":                 "600 x\r\nContent-Length: 0\r\n\r\n",
+		"blank in a name":     "200 OK\r\nX Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"blank behind a name": "200 OK\r\nContent-Length : 0\r\n\r\n",
+		"folded line":         "200 OK\r\nX-Run: 1\r\n Content-Length: 0\r\n\r\n",
 	}
 	for name, response := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/node/target/forwarder.go
+++ b/node/target/forwarder.go
@@ -9,6 +9,7 @@
 
 	"verbenapin.dev/node/answer"
 	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/http1"
 )
 
 // Forwarder sends the attempts that the gate admits to the target.
@@ -191,7 +192,7 @@
 	if !d.EchoRequestID || res.Header.Get(d.RequestIDHeader) == id {
 		return nil
 	}
-	closeConnection(res)
+	http1.CloseConnection(res)
 	return MismatchError{Reason: "its request ID differs"}
 }
 
@@ -228,10 +229,13 @@
 // lostReason states why an attempt that reached the target has no response; it names no address, since callers see it.
 func lostReason(err error) string {
 	var status answer.StatusError
+	var head http1.HeadError
 	var mismatch MismatchError
 	switch {
 	case errors.As(err, &status):
 		return "the target sent a response with status " + strconv.Itoa(status.Status) + ": " + status.Reason
+	case errors.As(err, &head):
+		return "the target sent a response with a malformed head: " + head.Reason
 	case errors.As(err, &mismatch):
 		return "the target sent a response that is not used: " + mismatch.Reason
 	}
--- a/node/target/transport.go
+++ b/node/target/transport.go
@@ -7,14 +7,13 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"verbenapin.dev/node/answer"
+	"verbenapin.dev/node/http1"
 	"verbenapin.dev/node/tcp"
 )
 
@@ -40,44 +39,26 @@
 // Unwrap returns the cause.
 func (e SendError) Unwrap() error { return e.Err }
 
-// countingConn counts the bytes written, which shows whether a failed request may have run.
-type countingConn struct {
-	net.Conn
-	written atomic.Int64
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.written.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
 // Transport sends requests to the target over reused connections and never sends one twice.
 type Transport struct {
 	// Dial opens a connection to the target; it must not change after the first request.
 	Dial tcp.Dial
 
 	base atomic.Pointer[url.URL]
-	http *http.Transport
+	http http1.Transport
 }
 
 // NewTransport returns a transport to the target at base with at most conns connections.
 func NewTransport(base *url.URL, conns int) *Transport {
 	t := &Transport{Dial: tcp.NewDial(dialTimeout)}
-	t.http = &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := t.Dial(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: c}, nil
-		},
+	t.http = http1.NewTransport(&http.Transport{
 		DisableCompression:     true,
 		MaxConnsPerHost:        conns,
 		MaxIdleConnsPerHost:    conns,
 		IdleConnTimeout:        idleTimeout,
 		ExpectContinueTimeout:  continueTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	}, func(ctx context.Context, network, addr string) (net.Conn, error) { return t.Dial(ctx, network, addr) })
 	t.base.Store(base)
 	return t
 }
@@ -90,48 +71,21 @@
 
 // RoundTrip sends one request and may modify its headers; its error is a SendError.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var conn *countingConn
+	var conn *http1.Conn
 	var writtenBefore int64
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*countingConn); ok {
-			conn, writtenBefore = c, c.written.Load()
-		}
-	}}
-	out := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	out := r.WithContext(r.Context())
 	base := t.base.Load()
 	out.URL = RequestURL(r, base.Scheme, base.Host)
 	out.RequestURI = ""
 	PreventResend(out)
-	res, err := t.http.RoundTrip(out)
+	res, err := t.http.Send(out, func(c *http1.Conn) { conn, writtenBefore = c, c.Written() })
 	if err != nil {
-		wrote := conn != nil && conn.written.Load() != writtenBefore
+		wrote := conn != nil && conn.Written() != writtenBefore
 		return nil, SendError{Err: err, Wrote: wrote, Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
-	if conn != nil {
-		res.Body = &connBody{ReadCloser: res.Body, conn: conn}
-	}
-	if err := answer.CheckFinal(res); err != nil {
-		closeConnection(res)
-		return nil, SendError{Err: err, Wrote: true}
-	}
 	return res, nil
 }
 
-// connBody is the body of a response with its connection.
-type connBody struct {
-	io.ReadCloser
-	conn net.Conn
-}
-
-// closeConnection closes the body and the connection of a response. Closing the body alone would keep the connection of a response
-// with an empty body for the next request.
-func closeConnection(res *http.Response) {
-	_ = res.Body.Close()
-	if b, ok := res.Body.(*connBody); ok {
-		_ = b.conn.Close()
-	}
-}
-
 // Close closes the connections that are not in use.
 func (t *Transport) Close() { t.http.CloseIdleConnections() }
 
--- a/node/tcp/dial.go
+++ b/node/tcp/dial.go
@@ -21,7 +21,7 @@
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		raw, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
-			return nil, fmt.Errorf("tcp: connecting: %w", err)
+			return nil, err
 		}
 		return &dialedConn{Conn: raw}, nil
 	}
