target: count and log the responses of the target that are broken

A response that broke off at the gate had no line and no count of its own there: the entry node's line shows what is left of the cause after the hop between nodes, and whether a read or a write was told of a reset could not be seen.

The forwarder reports each response that could not be used or broke off with its fault: head, status, foreign, reset or cut. The gate logs "response of the target is broken" with the error and counts verbenapin_faulty{reason,route}. The response to a probe with a malformed head or an impossible status is logged as well; it counted as lost before and does so now.

TestSpoiltHead and TestResetDuringUpload check the fault.

--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -128,6 +128,13 @@
 		journal.Route(c.Route), journal.Account(c.Account), journal.Instance(c.TargetName), journal.Cause(err))
 }
 
+// onFault counts and logs a response of the target that could not be used or broke off.
+func (n *Node) onFault(c target.Call, f target.Fault, err error) {
+	n.metrics.CountFault(c.Route, string(f))
+	n.journal.InfoDecision("response of the target is broken", journal.ID(c.Request.Header.Get(n.forwarder.Dialect.RequestIDHeader)),
+		journal.Route(c.Route), journal.Account(c.Account), journal.Instance(c.TargetName), journal.Cause(err))
+}
+
 // failureFields returns the log fields that state why an attempt failed.
 func failureFields(err error) []journal.Field {
 	var refusal answer.Refusal
--- a/node/daemon/probe.go
+++ b/node/daemon/probe.go
@@ -37,6 +37,9 @@
 	res, err := n.transport.RoundTrip(r) //nolint:bodyclose // ReadProbe closes it
 	if err != nil {
 		n.metrics.CountProbe("lost")
+		if f := target.FaultOf(err); f == target.FaultHead || f == target.FaultStatus {
+			n.journal.WarnRecurring("the response to a probe cannot be used", journal.Cause(err))
+		}
 		return target.ProbeResult{Cost: n.clock.Now().Sub(start)}, err
 	}
 	result, err := target.ReadProbe(n.forwarder.Dialect, res)
--- a/node/daemon/traffic.go
+++ b/node/daemon/traffic.go
@@ -26,7 +26,7 @@
 	n.transport.Dial = n.conns.Dial(tcp.KindTarget, 0, n.transport.Dial)
 	n.admission = target.NewAdmission(n.loop, n.clock, n.policy.Admit, n.probeBudget, n.probe)
 	n.forwarder = target.NewForwarder(n.clock.Now, n.store.ServingTree, n.admission.Admit, n.admission.Load, n.roundTrip)
-	n.forwarder.OnOverdue = n.onOverdue
+	n.forwarder.OnOverdue, n.forwarder.OnFault = n.onOverdue, n.onFault
 	n.forwarder.TakeMemory = func(bytes int64) bool { return n.kept.Take(n.memory, memory.KindResponse, bytes) }
 	n.forwarder.ReturnMemory = func(bytes int64) { n.kept.Add(memory.KindResponse, -bytes) }
 	if !s.Standalone() {
--- a/node/operator/metrics.go
+++ b/node/operator/metrics.go
@@ -60,6 +60,7 @@
 		"withheld": {help: "Requests that the gate refused because the calls of their runs would wait too long, by route and called service.", labels: []string{"route", "service"}},
 		"gone":     {help: "Attempts cancelled at the gate, since their sender or their caller has left or another attempt was answered, by stage: in its queue (queue) or at the target (target).", labels: []string{"stage"}},
 		"overdue":  {help: "Responses ended after their deadline, by route and reason: the target stopped sending (hung) or went on (overrun).", labels: []string{"reason", "route"}},
+		"faulty":   {help: "Responses of the target that could not be used or broke off, by route and reason: malformed head or trailer (head), impossible status (status), of another request (foreign), connection reset (reset) or ended (cut).", labels: []string{"reason", "route"}},
 		"probes":   {help: "Probes sent to the target, by result.", labels: []string{"result"}},
 		"restored": {help: "Times that the registry's state was replaced because the registry was restored from a backup."},
 	}
@@ -234,6 +235,9 @@
 	m.count("overdue", reason, route, "")
 }
 
+// CountFault counts a response of the target that could not be used or broke off.
+func (m *Metrics) CountFault(route, reason string) { m.count("faulty", reason, route, "") }
+
 // CountProbe counts a probe of the target by its result.
 func (m *Metrics) CountProbe(result string) { m.count("probes", result, "", "") }
 
--- a/node/target/forwarder.go
+++ b/node/target/forwarder.go
@@ -20,6 +20,8 @@
 	OnReport func(answer.TargetReport)
 	// OnOverdue is called when a response is ended because of its deadline, with the HungError or OverrunError that says why.
 	OnOverdue func(c Call, err error)
+	// OnFault is called when a request that was sent gets no response that can be used, or one that breaks off.
+	OnFault func(c Call, f Fault, err error)
 	// TakeMemory reports whether a response may be read ahead of its receiver by so many bytes, which ReturnMemory returns.
 	TakeMemory   func(bytes int64) bool
 	ReturnMemory func(bytes int64)
@@ -42,7 +44,7 @@
 	roundTrip func(*http.Request) (*http.Response, error),
 ) *Forwarder {
 	return &Forwarder{
-		Dialect: answer.DefaultDialect(), OnReport: func(answer.TargetReport) {}, OnOverdue: func(Call, error) {},
+		Dialect: answer.DefaultDialect(), OnReport: func(answer.TargetReport) {}, OnOverdue: func(Call, error) {}, OnFault: func(Call, Fault, error) {},
 		TakeMemory: func(int64) bool { return true }, ReturnMemory: func(int64) {},
 		now: now, tree: tree, admit: admit, load: load, roundTrip: roundTrip,
 	}
@@ -138,7 +140,11 @@
 	late := !timer.Stop() && errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 	if err != nil {
 		defer cancel(nil)
-		return nil, attemptError(c.Request.Context(), err, late, took, finish)
+		refusal := attemptError(c.Request.Context(), err, late, took, finish)
+		if refusal.Code == answer.CodeLost && c.Request.Context().Err() == nil {
+			f.OnFault(c, FaultOf(err), err)
+		}
+		return nil, refusal
 	}
 	f.OnReport(f.Dialect.Report(res.Header))
 	f.Dialect.StripInternal(res.Header)
@@ -149,8 +155,11 @@
 		if err != nil && c.Request.Context().Err() == nil {
 			outcome.Kind = OutcomeLost
 		}
-		if IsLate(err) {
+		switch {
+		case IsLate(err):
 			f.OnOverdue(c, err)
+		case outcome.Kind == OutcomeLost && !errors.Is(err, context.Canceled): // the receiver may have closed the response
+			f.OnFault(c, FaultOf(err), err)
 		}
 		finish(outcome)
 		cancel(nil)
@@ -197,7 +206,7 @@
 }
 
 // attemptError reports a failed attempt to the gate and returns the refusal for the sender.
-func attemptError(ctx context.Context, err error, late bool, took time.Duration, finish func(Outcome)) error {
+func attemptError(ctx context.Context, err error, late bool, took time.Duration, finish func(Outcome)) answer.Refusal {
 	var sendErr SendError
 	if !errors.As(err, &sendErr) {
 		sendErr = SendError{Err: err, Wrote: true}
--- a/node/target/reset_test.go
+++ b/node/target/reset_test.go
@@ -111,7 +111,9 @@
 			}
 			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://service/", upload)
 			require.NoError(t, err)
-			reply, err := newTestForwarder(transport).Do(Call{Request: r, Route: "r", Deadline: time.Now().Add(5 * time.Second)})
+			f, faults := newTestForwarder(transport), []Fault(nil)
+			f.OnFault = func(_ Call, f Fault, _ error) { faults = append(faults, f) }
+			reply, err := f.Do(Call{Request: r, Route: "r", Deadline: time.Now().Add(5 * time.Second)})
 			require.NoError(t, err)
 			_, err = io.ReadFull(reply.Response.Body, make([]byte, len(part)))
 			require.NoError(t, err)
@@ -121,6 +123,9 @@
 			close(read)
 			_, err = io.ReadAll(reply.Response.Body)
 			require.Equal(t, tc.whole, err == nil, "the end of the response: %v", err)
+			if !tc.whole {
+				require.Equal(t, []Fault{FaultReset}, faults)
+			}
 			require.NoError(t, reply.Response.Body.Close())
 		})
 	}
--- a/node/target/spoilt_head_test.go
+++ b/node/target/spoilt_head_test.go
@@ -61,7 +61,9 @@
 			trace, _ := answer.DefaultDialect().Informational(&statusRecorder{header: http.Header{}})
 			req, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodGet, "http://service/", nil)
 			require.NoError(t, err)
-			reply, err := newTestForwarder(transport).Do(Call{Request: req, Route: "r", Deadline: time.Now().Add(5 * time.Second)})
+			f, faults := newTestForwarder(transport), []Fault(nil)
+			f.OnFault = func(_ Call, f Fault, _ error) { faults = append(faults, f) }
+			reply, err := f.Do(Call{Request: req, Route: "r", Deadline: time.Now().Add(5 * time.Second)})
 			if err != nil {
 				var refused answer.Refusal
 				require.ErrorAs(t, err, &refused)
@@ -74,6 +76,9 @@
 				require.NoError(t, reply.Response.Body.Close())
 			}
 			require.Equal(t, tc.whole, err == nil, "error of the response: %v", err)
+			if !tc.whole {
+				require.Equal(t, []Fault{FaultHead}, faults)
+			}
 			transport.Close()
 			<-closed
 		})
