registry: tests of the feed wait for what a tick causes

TestFeedOutage advanced the manual clock every 5 ms of real time. Beside load, messages of one tick arrived up to two ticks later (trial that counts them): the readers looked silent and other nodes called in their place. Plays without a late message all made 114 calls; the one that failed, with 25 late ones, made 180.

The tests of the fleet that count calls run in a bubble of testing/synctest now and wait until all goroutines are idle after each tick: TestFeedOutage, TestFeedStart, TestFeedSpreads and TestFeedRestored. Bounds are unchanged.

--- a/node/registry/era_test.go
+++ b/node/registry/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -56,10 +57,7 @@
 					f.store.unavailable[node.Name] = true
 				}
 				f.store.mu.Unlock()
-				for range 15 {
-					f.manual.Advance(tickInterval)
-					time.Sleep(5 * time.Millisecond) // time for the messages of a tick
-				}
+				f.settle(15 * tickInterval)
 				f.store.restore(2)
 				f.store.mu.Lock()
 				clear(f.store.unavailable)
@@ -70,28 +68,30 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, 12)
-			f.eventually(2*time.Second, "the first read", f.allAt(1, f.nodes...))
-			for i := range 4 {
-				f.store.put(put(fmt.Sprint("k", i), int64(i)))
-			}
-			f.eventually(2*time.Second, "the state before", f.allEqual(f.nodes...))
-			f.store.mu.Lock()
-			before := f.store.fullReads
-			f.store.mu.Unlock()
-			readers, others := f.readersOf()
-			tc.restore(f, readers, others)
-			f.eventually(2*time.Second, "the restored state", f.allEqual(f.nodes...))
-			f.eventually(time.Second, "the reports of the restore", func() bool {
-				f.mu.Lock()
-				defer f.mu.Unlock()
-				return len(f.eras) == len(f.nodes)
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 12)
+				f.eventually(2*time.Second, "the first read", f.allAt(1, f.nodes...))
+				for i := range 4 {
+					f.store.put(put(fmt.Sprint("k", i), int64(i)))
+				}
+				f.eventually(2*time.Second, "the state before", f.allEqual(f.nodes...))
+				f.store.mu.Lock()
+				before := f.store.fullReads
+				f.store.mu.Unlock()
+				readers, others := f.readersOf()
+				tc.restore(f, readers, others)
+				f.eventually(2*time.Second, "the restored state", f.allEqual(f.nodes...))
+				f.eventually(time.Second, "the reports of the restore", func() bool {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					return len(f.eras) == len(f.nodes)
+				})
+				f.store.put(put("last", 1))
+				f.eventually(2*time.Second, "a change after it", f.allEqual(f.nodes...))
+				f.store.mu.Lock()
+				defer f.store.mu.Unlock()
+				require.LessOrEqual(t, f.store.fullReads-before, tc.reads)
 			})
-			f.store.put(put("last", 1))
-			f.eventually(2*time.Second, "a change after it", f.allEqual(f.nodes...))
-			f.store.mu.Lock()
-			defer f.store.mu.Unlock()
-			require.LessOrEqual(t, f.store.fullReads-before, tc.reads)
 		})
 	}
 }
--- a/node/registry/feed_test.go
+++ b/node/registry/feed_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -178,23 +179,19 @@
 
 // TestFeedStart guards against a fleet that starts together and calls the registry with every node until all targets are listed: on
 // a day of 295 nodes 1,600 of 1,850 calls came from nodes that knew no other one and took themselves for readers.
-func TestFeedStart(t *testing.T) {
+func TestFeedStart(t *testing.T) { synctest.Test(t, testFeedStart) }
+
+func testFeedStart(t *testing.T) {
 	const n = 60
 	f := newUnstartedFleet(t, n)
 	f.store.log = nil
 	f.store.put(put(emptyKey, 1))
 	f.start()
-	settle := func(d time.Duration) {
-		for range int(d / tickInterval) {
-			f.manual.Advance(tickInterval)
-			time.Sleep(10 * time.Millisecond) // time for the messages of a tick
-		}
-	}
-	settle(800 * time.Millisecond)
+	f.settle(800 * time.Millisecond)
 	for _, node := range f.nodes {
 		f.store.put(put(node.Name, 1))
 	}
-	settle(1200 * time.Millisecond)
+	f.settle(1200 * time.Millisecond)
 	f.store.mu.Lock()
 	calls, cached := f.store.calls, f.store.cachedReads
 	f.store.mu.Unlock()
@@ -223,6 +220,15 @@
 	}
 }
 
+// settle advances the manual clock by d. After each tick it waits until all that the tick causes is done, messages between nodes included:
+// ones that arrive ticks later look like readers that have failed. The test must run in a bubble of synctest.
+func (f *fleet) settle(d time.Duration) {
+	for range int(d / tickInterval) {
+		f.manual.Advance(tickInterval)
+		synctest.Wait()
+	}
+}
+
 // eventually advances the manual clock until the condition holds, and fails once limit has passed on that clock.
 func (f *fleet) eventually(limit time.Duration, what string, condition func() bool) {
 	f.t.Helper()
@@ -274,7 +280,9 @@
 }
 
 // TestFeedSpreads guards against changes that do not reach every node in time, and against nodes that all call the registry.
-func TestFeedSpreads(t *testing.T) {
+func TestFeedSpreads(t *testing.T) { synctest.Test(t, testFeedSpreads) }
+
+func testFeedSpreads(t *testing.T) {
 	f := newFleet(t, 30)
 	f.eventually(2*time.Second, "the first read", f.allAt(1, f.nodes...))
 	f.store.put(put("second", 2))
@@ -282,10 +290,7 @@
 	f.store.mu.Lock()
 	before := f.store.calls
 	f.store.mu.Unlock()
-	for range 20 {
-		f.manual.Advance(tickInterval)
-		time.Sleep(2 * time.Millisecond)
-	}
+	f.settle(20 * tickInterval)
 	f.store.mu.Lock()
 	defer f.store.mu.Unlock()
 	// The fake registry answers watches at once, so each reader may call on each tick.
@@ -344,7 +349,9 @@
 
 // TestFeedOutage guards against a fleet that keeps calling a registry that is down for all, since each call is charged, and against an
 // outage that is not reported.
-func TestFeedOutage(t *testing.T) {
+func TestFeedOutage(t *testing.T) { synctest.Test(t, testFeedOutage) }
+
+func testFeedOutage(t *testing.T) {
 	f := newFleet(t, 60)
 	f.eventually(2*time.Second, "the first read", f.allAt(1, f.nodes...))
 	f.store.mu.Lock()
@@ -354,10 +361,7 @@
 	before := f.store.calls
 	f.store.mu.Unlock()
 	const outage = 5 * time.Second
-	for range int(outage / tickInterval) {
-		f.manual.Advance(tickInterval)
-		time.Sleep(5 * time.Millisecond) // time for the messages of a tick
-	}
+	f.settle(outage)
 	f.store.mu.Lock()
 	calls := f.store.calls - before
 	clear(f.store.unavailable)
