--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -156,7 +156,10 @@
 func refusalFor(err error, connected bool) answer.Refusal {
 	// The texts leave out err, since callers must not see addresses inside the fleet.
 	deadlinePassed := errors.Is(err, context.DeadlineExceeded)
+	var head http1.HeadError
 	switch {
+	case errors.As(err, &head):
+		return answer.NewMaybeExecuted(answer.CodeLost, "the target's node sent a response with a malformed head: "+head.Reason)
 	case !connected && deadlinePassed:
 		return answer.NewNotExecuted(answer.CodeLate, "the deadline passed before the target's node was connected")
 	case !connected:
