--- a/review/fleet3/cases.go
+++ b/review/fleet3/cases.go
@@ -13,6 +13,8 @@
 const (
 	host = "nony93.example"
 	key  = "89anu6wsjnbanfqasnmg"
+	// withdrawnKey is the key that an operator takes away.
+	withdrawnKey = "kcuyj8pjbvk9m68k7b2e"
 )
 
 // Figures of the rules, as in the settings.
@@ -23,6 +25,8 @@
 	quotaWindow  = 5 * time.Second
 	quotaOverage = 0.25
 	quotaSlack   = 20.0
+	configApply  = 2 * time.Second
+	maxValue     = 1 << 20 // bytes of a value in the store
 )
 
 // configuration returns a configuration with one safe route for each service, whose path begins with the service's name, and one tenant.
@@ -185,3 +189,81 @@
 	log.say("UNASKED: %d of %d requests that upstreams ran have an id that no client sent", unknown, total)
 	return unknown == 0, nil
 }
+
+// blobs takes a key away just after another writer has written a few large entries that can't be read.
+func blobs(log *record, trouble bool) (bool, error) {
+	return withdraw(log, func(f *fleet, _ map[string]any) {
+		if !trouble {
+			return
+		}
+		for n := range 4 {
+			value := make([]byte, maxValue)
+			_, _ = rand.Read(value)
+			f.store.put(fmt.Sprintf("servers/blob-%d", n), value)
+		}
+		log.say("another writer has written four entries of 1 MB that can't be read")
+		time.Sleep(time.Second)
+	})
+}
+
+// weights takes a key away in a version that also splits a route, with fractions as weights.
+func weights(log *record, trouble bool) (bool, error) {
+	return withdraw(log, func(_ *fleet, next map[string]any) {
+		first, second := 199.0, 1.0
+		if trouble {
+			first, second = 99.5, 0.5
+		}
+		route := next["virtualHosts"].([]map[string]any)[0]["routeTable"].([]map[string]any)[1]
+		delete(route, "service")
+		route["weightedClusters"] = []map[string]any{{"service": "registro", "weight": first}, {"service": "storico", "weight": second}}
+		log.say("the next version splits the route to registro with the weights %v and %v", first, second)
+	})
+}
+
+// withdraw lets clients send requests with a key before and after a version takes it away. before is called just before that, with the
+// version.
+func withdraw(log *record, before func(f *fleet, next map[string]any)) (bool, error) {
+	c := configuration([]string{"storico", "registro"}, 0, 0)
+	tenant := c["tenants"].([]map[string]any)[0]
+	tenant["apiKeys"] = []string{key, withdrawnKey}
+	f, err := newFleet(log, smallFleet, 12, 20*time.Millisecond, c)
+	defer f.close()
+	if err != nil {
+		return false, err
+	}
+	current, withdrawn := &clients{log: log}, &clients{log: log}
+	for _, m := range f.machines {
+		current.press(m, 10, 30*time.Second, host, "/storico/work", key, 1500*time.Millisecond)
+		withdrawn.press(m, 5, 30*time.Second, host, "/storico/work", withdrawnKey, 1500*time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	c["version"] = 7
+	tenant["apiKeys"] = []string{key}
+	before(f, c)
+	value, err := json.Marshal(c)
+	if err != nil {
+		return false, fmt.Errorf("configuration: %w", err)
+	}
+	f.store.put("op/config", value)
+	acknowledged := time.Now()
+	log.say("version 7, which lacks a key, is acknowledged")
+	current.wait.Wait()
+	withdrawn.wait.Wait()
+	sent, late, total, last := withdrawn.answers(), 0, 0, time.Duration(0)
+	for _, m := range f.machines {
+		runs, _ := m.upstream.history()
+		for _, r := range runs {
+			if a, ok := sent[r.id]; ok && a.sent.After(acknowledged.Add(configApply)) {
+				late++
+				last = max(last, a.sent.Sub(acknowledged))
+			}
+		}
+	}
+	for _, a := range sent {
+		if a.sent.After(acknowledged.Add(configApply)) {
+			total++
+		}
+	}
+	log.say("CONFIG: %d of %d requests with the withdrawn key, sent later than 2 s after the acknowledgement, were run; the last was sent %.1f s after it", late, total, last.Seconds())
+	return late == 0, nil
+}
--- a/review/fleet3/store.go
+++ b/review/fleet3/store.go
@@ -10,8 +10,12 @@
 	"time"
 )
 
-// pageSize is the number of items in a page of the store.
-const pageSize = 50
+const (
+	// pageSize and pageBytes bound the items in a page of the store; a page has at least one.
+	pageSize, pageBytes = 50, 1 << 20
+	// history is how long the store keeps its changes.
+	history = 20 * time.Second
+)
 
 // item is an entry of the store as it is sent to nodes.
 type item struct {
@@ -21,10 +25,11 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
-// store imitates the platform's store. It is linearizable and keeps its whole history.
+// store imitates the platform's store. It is linearizable; a watch from a revision that is older than its history gets 410.
 type store struct {
 	mu      sync.Mutex
 	log     []item
+	written []time.Time   // of the items in log
 	changed chan struct{} // closed at the next change
 }
 
@@ -40,7 +45,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i.Revision = int64(len(s.log) + 1)
-	s.log = append(s.log, i)
+	s.log, s.written = append(s.log, i), append(s.written, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -67,12 +72,12 @@
 		}
 	}
 	slices.Sort(keys)
-	truncated := len(keys) > pageSize
-	if truncated {
-		keys = keys[:pageSize]
-	}
-	items := make([]item, 0, len(keys))
+	items, size, truncated := []item{}, 0, false
 	for _, key := range keys {
+		size += len(last[key].Value)
+		if truncated = len(items) > 0 && (len(items) == pageSize || size > pageBytes); truncated {
+			break
+		}
 		items = append(items, last[key])
 	}
 	writeJSON(w, map[string]any{"items": items, "truncated": truncated, "storeRevision": revision})
@@ -90,12 +95,13 @@
 	for expired := false; ; {
 		s.mu.Lock()
 		revision, changed := int64(len(s.log)), s.changed
+		compacted := after < revision && after >= 0 && time.Since(s.written[after]) > history
 		events := []item{}
 		if after < revision {
 			events = append(events, s.log[after:]...)
 		}
 		s.mu.Unlock()
-		if after > revision {
+		if compacted || after > revision {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
