peer: start a split in time that does not depend on its weights

Callers saw requests of every route held up, and most of them refused late, after a version with large weights: NewSplit walked offset % total steps of the sequence on the control goroutine, cloning a slice at each. Measured on the code before: 59 ms for weights of 1,000,000 and 1, 1.17 s for 20,000,000 and 1. The platform does not bound weights, and each version that changes them started the walk again on every node.

Cause: the state at a random point of the sequence was found by playing the sequence. The sum of weights could overflow an int as well.

Change: weights become shares of 2^60 once a version is decoded, with exact arithmetic (math/big). The split is a series of halvings, each with one phase, so that a random start is one random number a halving, and a choice takes as many steps as there are halvings on its way. Integer phases have no rounding that adds up, and give the same results on every processor. Weights of equal proportions have equal shares, so that the split goes on where it was. Fractions are weights in the product's own declarations too.

verbctl where prints the share of a service in place of its weight, since weights mean nothing without those of the other services.

TestSplitStart, TestSplitProportions and TestSplitMatches need fractions as weights, which the type before could not hold; two services now stay within one request of their proportion (bound before: two).

--- a/ctl/command/where.go
+++ b/ctl/command/where.go
@@ -62,8 +62,8 @@
 	for _, s := range where.Services {
 		line("", "")
 		line("service", "%s", s.Service)
-		if s.Weight > 0 {
-			line("weight", "%d", s.Weight)
+		if s.Share > 0 {
+			line("share", "%.4g%%", s.Share*100)
 		}
 		line("target", "%s (%s)", orDash(s.Target), s.Reason)
 		line("expected", "%.1f ms", s.ExpectedWait)
--- a/node/config/fields.go
+++ b/node/config/fields.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"hash/fnv"
 	"math"
+	"math/big"
 	"regexp"
 	"slices"
 	"strconv"
@@ -193,7 +194,8 @@
 		r.failAt(s.origin, "%d services, at most %d are allowed", len(list), maxSplitServices)
 		return nil
 	}
-	var out []WeightedService
+	var services []string
+	var weights []*big.Rat
 	seen := map[string]bool{}
 	for _, text := range list {
 		service, weight, ok := strings.Cut(text, " ")
@@ -205,9 +207,19 @@
 			r.failAt(s.origin, "duplicate service %q", service)
 		}
 		seen[service] = true
-		out = append(out, WeightedService{Service: service, Weight: r.integer(s, weight, 1, maxWeight)})
+		services, weights = append(services, service), append(weights, r.weight(s, weight))
 	}
-	return out
+	return NewWeightedServices(services, weights)
+}
+
+func (r *reader) weight(s setting, text string) *big.Rat {
+	weight := new(big.Rat)
+	if n, ok := r.number(s, text); ok && (n <= 0 || n > maxWeight) {
+		r.failAt(s.origin, "weight out of range: more than 0, at most %d", maxWeight)
+	} else if ok {
+		weight.SetString(text)
+	}
+	return weight
 }
 
 func (r *reader) boolean(s setting) bool {
--- a/node/config/tree.go
+++ b/node/config/tree.go
@@ -37,12 +37,6 @@
 	IdleTimeout  time.Duration // time between two requests of a connection
 }
 
-// WeightedService is a service that gets a weighted part of a route's requests.
-type WeightedService struct {
-	Service string
-	Weight  int // relative to the weights of the route's other services
-}
-
 // Route selects requests by host and path and sets how they are forwarded.
 type Route struct {
 	Name             string
--- a/node/daemon/where.go
+++ b/node/daemon/where.go
@@ -110,7 +110,7 @@
 
 func whereService(s config.WeightedService, p peer.Preview) report.WhereService {
 	out := report.WhereService{
-		Service: s.Service, Weight: s.Weight, Target: p.Choice.Instance, Reason: string(p.Choice.Reason), ExpectedWait: inMilliseconds(p.Choice.ExpectedWait),
+		Service: s.Service, Share: s.Fraction(), Target: p.Choice.Instance, Reason: string(p.Choice.Reason), ExpectedWait: inMilliseconds(p.Choice.ExpectedWait),
 		Retries: p.RetryTokens, Use: p.Service.Use, Known: p.Service.Known, Targets: []report.WhereTarget{},
 	}
 	if p.Refusal != nil {
--- a/node/operator/report/where.go
+++ b/node/operator/report/where.go
@@ -32,7 +32,7 @@
 // WhereService tells which target of a service a request would go to.
 type WhereService struct {
 	Service      string        `json:"service"`
-	Weight       int           `json:"weight,omitempty"`
+	Share        float64       `json:"share,omitempty"` // of the requests of a route that splits them, 0 to 1
 	Target       string        `json:"target,omitempty"`
 	Reason       string        `json:"chosen"`
 	ExpectedWait float64       `json:"expected"`
--- a/node/peer/selection.go
+++ b/node/peer/selection.go
@@ -150,7 +150,7 @@
 	_ = d.loop.Call(context.Background(), func(time.Time) {
 		s, ok := d.splits[route.Name]
 		if !ok || !s.Matches(route.Split) {
-			s = NewSplit(route.Split, d.rand.Int())
+			s = NewSplit(route.Split, d.rand.Int64N)
 		}
 		d.splits[route.Name], service = s.WithNext()
 	})
