config: a part that cannot be read does not hold up its version

Callers with a withdrawn key were served for as long as any field of the newest version could not be read, wherever it was, and a node that started then had no configuration. On-call saw one warning among others, without the version.

Cause: a version was decoded as a whole, and the first error kept all of it out of force.

Change: services, accounts and routes are decoded one by one. One that cannot be read allows nothing: its requests get 503 with the new code "config", at the entry node and at the gate (Tree.Authorize, which the two and verbctl where now share). A key that no readable account has is refused as 503 while the keys of an account cannot be read, since 401 is final. A route whose weights are all 0 had the same effect as an unreadable one; it now refuses its own requests.

Gauges rejected and unread, two log lines at level error, /state and the text of the readiness answer say which version is not in force and why.

TestUnreadableConfiguration (four nodes) failed before at "the key is withdrawn at a1". TestDecodeTreeFaults keeps the faults of the outline; the others moved to TestUnreadableParts, which checks that the part is refused and that the rest is in force, so that an invalid configuration is still not accepted.

--- a/node/answer/refusal.go
+++ b/node/answer/refusal.go
@@ -19,6 +19,7 @@
 	CodeRate    Code = "rate"    // the account is beyond its rate and burst
 	CodeStale   Code = "stale"   // the node cannot confirm its configuration version
 	CodeEmpty   Code = "empty"   // the node has no configuration yet
+	CodeConfig  Code = "config"  // the configuration in force does not say how to serve the request
 	CodeBusy    Code = "busy"    // no target can accept the request now
 	CodeCalls   Code = "calls"   // the calls that the request would make find no capacity
 	CodeDomain  Code = "domain"  // all targets are in evacuated failure domains
--- a/node/caller/request.go
+++ b/node/caller/request.go
@@ -107,23 +107,19 @@
 		route = s.dispatch.SelectService(route)
 	}
 	q.route, q.version, q.priority = route, tree.Version(), target.Priority{Route: route.Priority}
-	if route.AuthExempt {
-		return s.withParent(q, tree.Fleet()), nil
-	}
 	key := s.Dialect.KeyOf(q.Header)
-	if key == "" {
+	if key == "" && !route.AuthExempt && route.Fault == "" {
 		return q, answer.NewNotExecuted(answer.CodeKey, "the route needs a key")
 	}
-	q.key = config.KeyDigest(key)
-	account, ok := tree.Authenticate(q.key)
-	if !ok {
-		return q, answer.NewNotExecuted(answer.CodeKey, "the key is unknown or was revoked")
+	if !route.AuthExempt {
+		q.key = config.KeyDigest(key)
 	}
+	account, err := tree.Authorize(route, q.key)
 	q.account, q.priority.Account = account.Name, account.Priority
-	q = s.withParent(q, tree.Fleet())
-	if !account.Allows(route.Name) {
-		return q, answer.NewNotExecuted(answer.CodeScope, "the account may not use the route")
+	if err != nil {
+		return q, err
 	}
+	q = s.withParent(q, tree.Fleet())
 	if !account.Limited() {
 		return q, nil
 	}
--- a/node/config/fetch.go
+++ b/node/config/fetch.go
@@ -170,8 +170,7 @@
 	case errors.As(err, &invalid):
 		v := before.WithRejected(m)
 		c.state.Store(&v)
-		text := fmt.Sprintf("version %d: %v", m.Version, err)
-		c.rejection.Store(&text)
+		c.rejection.Store(&Rejection{Version: m.Version, Reason: err.Error()})
 		c.reportError("building a version", err)
 	default:
 		v := before.WithoutPending(m)
--- a/node/config/store.go
+++ b/node/config/store.go
@@ -54,8 +54,7 @@
 	cancel        context.CancelFunc
 	calls         loop.Group
 	subscriptions []*clock.Subscription
-	// rejection is why the last version that was built was rejected, nil if it was valid.
-	rejection atomic.Pointer[string]
+	rejection     atomic.Pointer[Rejection] // nil until a version was built
 
 	// Owned by the control goroutine.
 	parts            map[Digest][]byte
@@ -111,14 +110,26 @@
 	before := c.Snapshot()
 	m := Manifest{Version: t.Version(), Parts: []Part{{Name: "registry", Sha256: d.String()}}}
 	v := before.WithTree(m, t)
-	c.state.Store(&v)
 	if v.Version() == before.Version() {
 		return false
 	}
+	c.state.Store(&v)
+	rejection := Rejection{}
+	if faults := t.Faults(); len(faults) > 0 {
+		rejection = Rejection{Version: t.Version(), Parts: faults}
+	}
+	c.rejection.Store(&rejection)
 	c.notifyChange(now, t)
 	return true
 }
 
+// Reject records that a version from the registry cannot be put into force. A version below the held one is of no concern.
+func (c *Store) Reject(r Rejection) {
+	if r.Version == UnknownVersion || r.Version > c.Snapshot().Version() {
+		c.rejection.Store(&r)
+	}
+}
+
 // OnChange registers a callback that runs on the control goroutine with each new tree; it must be called before Start.
 func (c *Store) OnChange(f func(now time.Time, t Tree)) { c.onChange = append(c.onChange, f) }
 
@@ -150,12 +161,12 @@
 // ServeStatus returns whether the node may serve now, and why; any goroutine may call it.
 func (c *Store) ServeStatus() ServeStatus { return c.state.Load().ServeStatus(c.settings.Clock.Now()) }
 
-// Rejection returns why the last version that was built was rejected, empty if it was valid; any goroutine may call it.
-func (c *Store) Rejection() string {
-	if text := c.rejection.Load(); text != nil {
-		return *text
+// Rejection returns what of the newest version is not in force; any goroutine may call it.
+func (c *Store) Rejection() Rejection {
+	if r := c.rejection.Load(); r != nil {
+		return *r
 	}
-	return ""
+	return Rejection{}
 }
 
 // ServingTree returns the tree, or a refusal if the node may not serve from it now; any goroutine may call it.
--- a/node/config/tree.go
+++ b/node/config/tree.go
@@ -57,6 +57,13 @@
 	ProbeRatio       float64       // fraction of a target's time spent on probes
 	Slots            int           // concurrent requests that a warm target serves
 	Conns            int           // connections to a target
+	Fault            string        // why requests of the route are refused, empty if it can be used
+}
+
+// WithFault returns the route with a reason for which its requests are refused.
+func (r Route) WithFault(reason string) Route {
+	r.Fault = reason
+	return r
 }
 
 // WithService returns the route with service in place of its service or split.
@@ -85,7 +92,8 @@
 	Priority  int     // 0 is served first; it takes precedence over the priority of the route
 	Keys      []Digest
 	Routes    []string
-	AllRoutes bool // the account may use all routes
+	AllRoutes bool   // the account may use all routes
+	Fault     string // why requests of the account are refused, empty if it can be used
 }
 
 // Allows reports whether the account may use the route.
@@ -115,6 +123,9 @@
 	services map[string]Service
 	keys     []keyEntry
 	origins  map[originKey]Origin
+	faults   []string // parts that cannot be read
+	// lacksKeys is set if the keys of an account are among the parts that cannot be read.
+	lacksKeys bool
 }
 
 type keyEntry struct {
@@ -161,6 +172,16 @@
 	return t
 }
 
+// WithFaults returns the tree with the faults of the parts that cannot be read. If the keys of an account are among them, lacksKeys is set:
+// a key that the tree does not hold may then be valid.
+func (t Tree) WithFaults(faults []string, lacksKeys bool) Tree {
+	t.faults, t.lacksKeys = faults, lacksKeys
+	return t
+}
+
+// Faults returns the faults of the parts that cannot be read; the caller must not change the slice.
+func (t Tree) Faults() []string { return t.faults }
+
 // Service returns the declared properties of a service, the zero value if it is not declared.
 func (t Tree) Service(name string) Service { return t.services[name] }
 
--- a/node/daemon/control.go
+++ b/node/daemon/control.go
@@ -207,6 +207,10 @@
 		n.admission.SetEvacuated(now, t.IsEvacuated(n.settings.Domain))
 	}
 	n.journal.Info("configuration in force", journal.Version(t.Version()))
+	if faults := t.Faults(); len(faults) > 0 {
+		n.journal.Error("parts of the configuration cannot be read, and requests that need them are refused: correct them, and publish it under a higher number",
+			journal.Version(t.Version()), journal.Count(len(faults)), journal.Cause(n.store.Rejection()))
+	}
 }
 
 // targetSlots returns how many concurrent requests the warm target has capacity for: the most that a route of its service
--- a/node/daemon/observe.go
+++ b/node/daemon/observe.go
@@ -151,6 +151,7 @@
 	n.checkConnections()
 	n.updateMemoryGauges()
 	n.metrics.SetVersion(v.Version(), v.ConfirmationAge(now))
+	n.metrics.SetRejected(n.store.Rejection().Version, len(v.Tree().Faults()))
 	if n.feed != nil {
 		n.metrics.SetEra(n.feed.Snapshot().Era())
 	}
--- a/node/daemon/ready.go
+++ b/node/daemon/ready.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -22,8 +23,12 @@
 func newReadinessServer(path string, ready func() (bool, string)) *readinessServer {
 	handler := http.NewServeMux()
 	handler.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
-		if ok, reason := ready(); !ok {
+		ok, reason := ready()
+		switch {
+		case !ok:
 			http.Error(w, reason, http.StatusServiceUnavailable)
+		case reason != "":
+			_, _ = io.WriteString(w, reason+"\n")
 		}
 	})
 	return &readinessServer{http: &http.Server{
--- a/node/daemon/state.go
+++ b/node/daemon/state.go
@@ -34,18 +34,22 @@
 	if n.listeners.callerFailure() >= maxCallerFailure {
 		return false, "connections of callers cannot be accepted"
 	}
+	rejection := n.store.Rejection().String()
 	if v := n.store.ServeStatus(); v.Code != config.StatusServe {
+		if v.Code == config.StatusEmpty && rejection != "" {
+			return false, rejection
+		}
 		return false, v.Reason
 	}
 	if n.platform != nil {
-		return true, ""
+		return true, rejection
 	}
 	// Until a home can grant leases, a standalone node, or a fleet whose nodes all start at once, refuses every request
 	// that needs a key.
 	if n.store.Snapshot().IsHome() && !n.limiter.CanGrant() {
 		return false, "this home does not lend tokens yet, because loans of an earlier run may still be valid"
 	}
-	return true, ""
+	return true, rejection
 }
 
 func (n *Node) state(context.Context) (report.State, error) {
@@ -59,7 +63,7 @@
 		Ready: ready, Reason: reason,
 		Version: v.Version(), Digest: v.Digest().String(),
 		ServeStatus: string(v.ServeStatus(now).Code), ConfirmationAge: v.ConfirmationAge(now).Milliseconds(),
-		RejectReason:     n.store.Rejection(),
+		RejectReason:     n.store.Rejection().String(),
 		EvacuatedDomains: v.Tree().Fleet().EvacuatedDomains, Home: v.IsHome(), Leaving: n.isLeaving(),
 		Load: report.Load{
 			Running: load.Running, Queued: load.Queued, Limit: load.Limit,
--- a/node/daemon/where.go
+++ b/node/daemon/where.go
@@ -64,15 +64,14 @@
 	if !ok {
 		return refuse(answer.CodeRoute, "no route matches host and path")
 	}
-	if out.Route = route.Name; route.AuthExempt {
-		return route, nil, nil
-	}
-	account, ok := accountOf(tree, q)
-	if !ok {
-		return refuse(answer.CodeKey, "the route needs an account, and there is none with this name or key")
+	out.Route = route.Name
+	account, err := authorize(tree, route, q)
+	out.Account = account.Name
+	if errors.As(err, &refused) {
+		return refuse(refused.Code, refused.Text)
 	}
-	if out.Account = account.Name; !account.Allows(route.Name) {
-		return refuse(answer.CodeScope, "the account may not use the route")
+	if err != nil {
+		return config.Route{}, nil, err
 	}
 	if account.Limited() {
 		tokens, err := n.limiter.Tokens(ctx, account.Name)
@@ -84,16 +83,16 @@
 	return route, nil, nil
 }
 
-// accountOf returns the account that the query names by its key or, without one, by its name.
-func accountOf(tree config.Tree, q report.WhereQuery) (config.Account, bool) {
+// authorize returns the account that the query names by its key or, without one, by its name. The error is an answer.Refusal.
+func authorize(tree config.Tree, route config.Route, q report.WhereQuery) (config.Account, error) {
 	if q.Digest == "" {
-		return tree.Account(q.Account)
+		return tree.AuthorizeName(route, q.Account)
 	}
 	digest, err := hex.DecodeString(q.Digest)
 	if err != nil || len(digest) != len(config.Digest{}) {
-		return config.Account{}, false
+		digest = make([]byte, len(config.Digest{})) // of no key
 	}
-	return tree.Authenticate(config.Digest(digest))
+	return tree.Authorize(route, config.Digest(digest))
 }
 
 // leavingTargets returns the listed targets of a service that are known to be leaving, among which no node chooses.
--- a/node/operator/metrics.go
+++ b/node/operator/metrics.go
@@ -66,6 +66,8 @@
 	}
 	gaugeDescriptions = map[string]description{
 		"version":   {help: "Number of the configuration version in force."},
+		"rejected":  {help: "Number of the newest configuration version if it is not in force as a whole, -1 if its number cannot be read, else 0."},
+		"unread":    {help: "Parts of the configuration in force that cannot be read, so that requests that need them are refused."},
 		"era":       {help: "Era of the registry's state, which increases when the registry is restored from a backup."},
 		"restoring": {help: "Time from the first sign of the present era until its state was complete, in seconds."},
 		"age":       {help: "Age of the evidence that the version is the newest, in seconds."},
@@ -258,6 +260,13 @@
 	m.set("age", "", age.Seconds())
 }
 
+// SetRejected sets the number of the newest version if it is not in force as a whole, and how many parts of the version in force cannot be
+// read.
+func (m *Metrics) SetRejected(version int64, parts int) {
+	m.set("rejected", "", float64(version))
+	m.set("unread", "", float64(parts))
+}
+
 // SetEra sets the era of the registry's state.
 func (m *Metrics) SetEra(era int64) { m.set("era", "", float64(era)) }
 
--- a/node/operator/report/explain.go
+++ b/node/operator/report/explain.go
@@ -42,6 +42,7 @@
 	answer.CodeScope:   {Cause: "the account is not authorized for the route", Action: "add the route to the account's list of routes if it should have it"},
 	answer.CodeRate:    {Cause: "the account is beyond its rate and burst over the whole fleet", Action: "raise its rate or burst, or have the caller wait for the time given; check that all homes are reachable"},
 	answer.CodeStale:   {Cause: "the node has had no evidence for 5 s that its version is the newest", Action: "check the configuration service and the connections to the homes"},
+	answer.CodeConfig:  {Cause: "the configuration in force does not say how to serve the request: its route, account or service cannot be read, or no service of the route has a weight", Action: "correct the part that the text of the refusal names, and publish the configuration under a higher number"},
 	answer.CodeEmpty:   {Cause: "the node has not received a configuration yet", Action: "check the configuration service, the instance list and the connections to the homes"},
 	answer.CodeBusy:    {Cause: "no target tried had capacity for the request", Action: "compare load and limit of the service's targets; add targets or find the account with the most load"},
 	answer.CodeCalls:   {Cause: "the calls that the request would make find no capacity", Action: "the log of the gate's node names the called service and the wait there; add targets to that service"},
--- a/node/operator/report/explain_test.go
+++ b/node/operator/report/explain_test.go
@@ -17,7 +17,7 @@
 	require.NoError(t, err)
 	text := strings.ReplaceAll(string(page), "`", "")
 	for _, code := range []answer.Code{
-		answer.CodePath, answer.CodeRoute, answer.CodeKey, answer.CodeScope, answer.CodeRate, answer.CodeStale, answer.CodeEmpty,
+		answer.CodePath, answer.CodeRoute, answer.CodeKey, answer.CodeScope, answer.CodeRate, answer.CodeStale, answer.CodeEmpty, answer.CodeConfig,
 		answer.CodeBusy, answer.CodeDomain, answer.CodeLate, answer.CodeLost, answer.CodeLarge, answer.CodeLeaving,
 	} {
 		m, known := MeaningOf(code)
--- a/node/target/forwarder.go
+++ b/node/target/forwarder.go
@@ -86,17 +86,11 @@
 	if !ok {
 		return answer.NewNotExecuted(answer.CodeRoute, "the target's node has no such route")
 	}
-	if route.AuthExempt {
-		return nil
-	}
-	account, ok := tree.Authenticate(c.Key)
-	if !ok || account.Name != c.Account {
-		return answer.NewNotExecuted(answer.CodeKey, "the key is unknown or was revoked")
-	}
-	if !account.Allows(route.Name) {
-		return answer.NewNotExecuted(answer.CodeScope, "the account may not use the route")
+	account, err := tree.Authorize(route, c.Key)
+	if err == nil && !route.AuthExempt && account.Name != c.Account {
+		return answer.NewNotExecuted(answer.CodeKey, "the key belongs to another account")
 	}
-	return nil
+	return err
 }
 
 const (
