--- a/node/decimal/number.go
+++ b/node/decimal/number.go
@@ -57,6 +57,16 @@
 	return fromRat(exact), nil
 }
 
+// UnmarshalJSON implements json.Unmarshaler. A string is not a number, and null leaves n as it is.
+func (n *Number) UnmarshalJSON(data []byte) error {
+	if string(data) == "null" {
+		return nil
+	}
+	parsed, err := Parse(string(data))
+	*n = parsed
+	return err
+}
+
 // closeToZero returns 0 if all digits of the text are zeros, else the float64 next to it.
 func closeToZero(text string) *big.Rat {
 	mantissa, _, _ := strings.Cut(strings.ToLower(text), "e")
