caller: read the time that callers state in one place

The deadline header was parsed in two places, and "-Inf" and "-1e300" went through a conversion whose result depends on the processor.

Change: one method, with package decimal and a bound.

--- a/node/caller/request.go
+++ b/node/caller/request.go
@@ -8,12 +8,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"regexp"
-	"strconv"
 	"strings"
 	"time"
 
 	"verbenapin.dev/node/answer"
 	"verbenapin.dev/node/config"
+	"verbenapin.dev/node/decimal"
 	"verbenapin.dev/node/target"
 )
 
@@ -235,8 +235,22 @@
 // deadlineOf returns the route's deadline, or the caller's if it is earlier.
 func (s *Server) deadlineOf(q request) time.Time {
 	limit := q.route.Deadline
-	if ms, err := strconv.ParseFloat(q.receivedHeader.Get(s.Dialect.DeadlineHeader), 64); err == nil && ms < limit.Seconds()*1000 {
-		limit = time.Duration(ms * float64(time.Millisecond))
+	if patience, ok := s.patience(q); ok {
+		limit = min(limit, patience)
 	}
 	return q.start.Add(limit)
 }
+
+// maxPatience bounds the time that callers state.
+const maxPatience = 24 * time.Hour
+
+// patience returns how long the caller waits for the response, at most maxPatience; false if it has not said so. A time that has passed is
+// zero.
+func (s *Server) patience(q request) (time.Duration, bool) {
+	n, err := decimal.Parse(q.receivedHeader.Get(s.Dialect.DeadlineHeader))
+	if err != nil {
+		return 0, false
+	}
+	ms := min(max(n.Float64(), 0), float64(maxPatience/time.Millisecond))
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
--- a/node/caller/returns.go
+++ b/node/caller/returns.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"strconv"
 	"time"
 
 	"verbenapin.dev/node/answer"
@@ -10,15 +9,15 @@
 
 // callerDeadline returns when the caller gives up, which may be after the route's time limit; false if it has not said so.
 func (s *Server) callerDeadline(q request) (time.Time, bool) {
-	ms, err := strconv.ParseFloat(q.receivedHeader.Get(s.Dialect.DeadlineHeader), 64)
-	if err != nil || !(ms > 0 && ms <= maxCallerDeadlineMS) {
+	patience, ok := s.patience(q)
+	if !ok || patience <= 0 || patience > maxCallerDeadline {
 		return time.Time{}, false
 	}
-	return q.start.Add(time.Duration(ms * float64(time.Millisecond))), true
+	return q.start.Add(patience), true
 }
 
-// maxCallerDeadlineMS bounds the deadlines by which callers are recognised, in milliseconds.
-const maxCallerDeadlineMS = 3600 * 1000
+// maxCallerDeadline bounds the deadlines by which callers are recognised.
+const maxCallerDeadline = time.Hour
 
 // markReturn gives the request of a caller that returned as told its stage, by which it goes before new ones of its rank.
 func (s *Server) markReturn(q *request) {
