peer: split requests by smooth weighted round robin again

Change: the round robin is back, on shares instead of weights, and starts in a random state without playing the sequence up to it: random credits whose sum is 0, moved on by 64 requests.

--- a/node/config/shares.go
+++ b/node/config/shares.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// TotalShare is the sum of the shares of a split. It leaves room in an int64 for the sum of two shares.
-const TotalShare = 1 << 60
+// TotalShare is the sum of the shares of a split. It leaves room in an int64 for sums of many shares.
+const TotalShare = 1 << 56
 
 // WeightedService is a service that gets a share of a route's requests.
 type WeightedService struct {
--- a/node/peer/split.go
+++ b/node/peer/split.go
@@ -1,56 +1,55 @@
 package peer
 
 import (
+	"cmp"
 	"slices"
 
 	"verbenapin.dev/node/config"
 )
 
-// Split divides the requests of a route among services in proportion to their shares. Two services stay within one request of their
-// proportion, several within two, so that the few requests of a single node keep the proportions too.
-//
-// It halves the services again and again until one is left. Each halving gives its left half a request whenever its phase, which advances
-// by the share of that half, passes the share of both halves.
+// Split divides the requests of a route among services in proportion to their shares, by smooth weighted round robin. Each service stays
+// within about one request of its proportion, so that the few requests of a single node keep the proportions too.
 type Split struct {
 	services []config.WeightedService
-	ends     []int64 // ends[i] is the sum of the shares of the first i services
-	phases   []int64 // phases[i] belongs to the halving before service i; at least 0 and less than the share of both halves
+	credits  []int64 // what each service is behind its proportion, in parts of config.TotalShare of a request; their sum is 0
 }
 
-// NewSplit returns the state of a route with random phases, so that the nodes of a fleet start at different positions of the sequence, since
-// each of them may see few requests only. random returns a number from 0 to less than n, which is positive.
+// settlingSteps is how many requests a random state is moved on, until services are next as often as their shares say. States that are
+// never reached by requests favour small shares.
+const settlingSteps = 64
+
+// NewSplit returns a random state of a route, so that the nodes of a fleet start at different positions of the sequence, since each of them
+// may see few requests only. random returns a number from 0 to less than n.
 func NewSplit(services []config.WeightedService, random func(n int64) int64) Split {
-	s := Split{services: services, ends: make([]int64, len(services)+1), phases: make([]int64, len(services))}
-	for i, service := range services {
-		s.ends[i+1] = s.ends[i] + service.Share
+	s := Split{services: services, credits: randomCredits(len(services), random)}
+	for range settlingSteps {
+		s.advance(s.credits)
 	}
-	s.randomize(0, len(services), random)
 	return s
 }
 
-// randomize sets the phases of the halvings of a range of services.
-func (s Split) randomize(first, end int, random func(n int64) int64) {
-	if end-first < 2 {
-		return
+// randomCredits returns credits between -1 and 1 request whose sum is 0. Fractions of a request are drawn, the last of which makes the sum a
+// whole number of requests; so many services are then taken for served, those that are furthest behind.
+func randomCredits(n int, random func(n int64) int64) []int64 {
+	credits, byCredit := make([]int64, n), make([]int, n)
+	var fraction int64
+	for i := range n {
+		byCredit[i] = i
+		if i < n-1 {
+			credits[i] = random(config.TotalShare)
+			fraction = (fraction + credits[i]) % config.TotalShare
+		}
 	}
-	middle := s.middle(first, end)
-	if both := s.ends[end] - s.ends[first]; both > 0 {
-		s.phases[middle] = random(both)
+	credits[n-1] = (config.TotalShare - fraction) % config.TotalShare
+	slices.SortStableFunc(byCredit, func(a, b int) int { return cmp.Compare(credits[b], credits[a]) })
+	var sum int64
+	for _, c := range credits {
+		sum += c
 	}
-	s.randomize(first, middle, random)
-	s.randomize(middle, end, random)
-}
-
-// middle returns the beginning of the right half of a range of at least two services. The shares of both halves are as equal as the order
-// of the services allows, which keeps the errors of successive halvings from adding up.
-func (s Split) middle(first, end int) int {
-	half := s.ends[first] + (s.ends[end]-s.ends[first])/2
-	i, _ := slices.BinarySearch(s.ends[first+1:end], half)
-	middle := min(first+1+i, end-1)
-	if middle-1 > first && half-s.ends[middle-1] < s.ends[middle]-half {
-		middle--
+	for _, i := range byCredit[:sum/config.TotalShare] {
+		credits[i] -= config.TotalShare
 	}
-	return middle
+	return credits
 }
 
 // Matches reports whether the state belongs to the given services and shares.
@@ -58,16 +57,19 @@
 
 // WithNext returns the state after a request, and the service to which it goes.
 func (s Split) WithNext() (Split, string) {
-	s.phases = slices.Clone(s.phases)
-	first, end := 0, len(s.services)
-	for end-first > 1 {
-		middle := s.middle(first, end)
-		phase, both := s.phases[middle]+s.ends[middle]-s.ends[first], s.ends[end]-s.ends[first]
-		if phase >= both {
-			s.phases[middle], end = phase-both, middle
-		} else {
-			s.phases[middle], first = phase, middle
+	s.credits = slices.Clone(s.credits)
+	return s, s.services[s.advance(s.credits)].Service
+}
+
+// advance changes the credits by a request, and returns the index of the service to which it goes.
+func (s Split) advance(credits []int64) int {
+	next := 0
+	for i, service := range s.services {
+		credits[i] += service.Share
+		if credits[i] > credits[next] {
+			next = i
 		}
 	}
-	return s, s.services[first].Service
+	credits[next] -= config.TotalShare
+	return next
 }
