--- a/node/config/store.go
+++ b/node/config/store.go
@@ -123,11 +123,11 @@
 	return true
 }
 
-// Reject records that a version from the registry cannot be put into force. A version below the held one is of no concern.
-func (c *Store) Reject(r Rejection) {
-	if r.Version == UnknownVersion || r.Version > c.Snapshot().Version() {
-		c.rejection.Store(&r)
-	}
+// Reject records that the newest configuration of the registry cannot be read, and returns what is not in force for that.
+func (c *Store) Reject(reason string) Rejection {
+	r := Rejection{Version: UnknownVersion, Reason: reason}
+	c.rejection.Store(&r)
+	return r
 }
 
 // OnChange registers a callback that runs on the control goroutine with each new tree; it must be called before Start.
--- a/node/daemon/registry.go
+++ b/node/daemon/registry.go
@@ -133,10 +133,10 @@
 		case decoded.Tree != nil:
 			n.store.Adopt(now, config.KeyDigest(string(item.Value)), *decoded.Tree)
 			continue
-		case decoded.Rejected != nil:
-			n.store.Reject(*decoded.Rejected)
+		case decoded.Rejected != "":
+			rejection := n.store.Reject(decoded.Rejected)
 			n.journal.Error("configuration cannot be read and is not in force: correct it, and publish it under a higher number",
-				journal.Revision(item.Revision), journal.Version(n.store.Snapshot().Version()), journal.Cause(*decoded.Rejected))
+				journal.Revision(item.Revision), journal.Version(n.store.Snapshot().Version()), journal.Cause(rejection))
 			continue
 		case decoded.EvacuatedDomain != "" || evacuations.Has(item.Key):
 			evacuations = evacuations.WithChange(now, registry.EvacuationChange{
--- a/node/registry/item.go
+++ b/node/registry/item.go
@@ -119,7 +119,7 @@
 // DecodedItem is the decoded form of an item; exactly one field is set.
 type DecodedItem struct {
 	Tree            *config.Tree
-	Rejected        *config.Rejection // of a configuration that cannot be put into force
+	Rejected        string // why nothing of a configuration can be put into force
 	Target          *instance.Instance
 	EvacuatedDomain string // failure domain that operators have taken out
 }
