--- a/ctl/command/main_test.go
+++ b/ctl/command/main_test.go
@@ -39,7 +39,7 @@
 		case "/where":
 			q, tokens := r.URL.Query(), 4
 			where := report.Where{Node: "a1", Version: 7, Route: q.Get("host") + q.Get("path"), Account: q.Get("account"), Tokens: &tokens, Services: []report.WhereService{{
-				Service: "history", Target: "t1", Reason: "least", ExpectedWait: 1.5, Retries: 2, Use: 0.4, Known: 2,
+				Service: "history", Share: 0.995, Target: "t1", Reason: "least", ExpectedWait: 1.5, Retries: 2, Use: 0.4, Known: 2,
 				Hedge: &report.WhereHedge{Sent: true, Target: "t2", After: 180, Left: 1.2},
 				Targets: []report.WhereTarget{
 					{Name: "t1", Domain: "a", Compared: true, Score: 12.3, Running: 2, Limit: 10, Slowdown: 1, Age: 40},
