--- a/node/config/rejection.go
+++ b/node/config/rejection.go
@@ -8,6 +8,9 @@
 // UnknownVersion is the number of a version whose number cannot be read.
 const UnknownVersion = -1
 
+// maxReasons is how many faults of parts the text of a Rejection has.
+const maxReasons = 10
+
 // Rejection states what of the newest version is not in force; the zero value is that of a version that is in force as a whole.
 type Rejection struct {
 	Version int64    // UnknownVersion if its number cannot be read, zero if the version is in force as a whole
@@ -24,7 +27,8 @@
 	case r.Version == 0:
 		return ""
 	case len(r.Parts) > 0:
-		return fmt.Sprintf("version %d is in force but for parts that cannot be read: %s", r.Version, strings.Join(r.Parts, "; "))
+		return fmt.Sprintf("version %d is in force but for %d parts that cannot be read: %s",
+			r.Version, len(r.Parts), strings.Join(r.Parts[:min(len(r.Parts), maxReasons)], "; "))
 	case r.Version == UnknownVersion:
 		return "version of unknown number: " + r.Reason
 	default:
