caller: read the key only where it is needed

Routes that need no key read it since, and the condition for its absence was hard to read; found in the read of the change.

--- a/node/caller/request.go
+++ b/node/caller/request.go
@@ -107,11 +107,11 @@
 		route = s.dispatch.SelectService(route)
 	}
 	q.route, q.version, q.priority = route, tree.Version(), target.Priority{Route: route.Priority}
-	key := s.Dialect.KeyOf(q.Header)
-	if key == "" && !route.AuthExempt && route.Fault == "" {
-		return q, answer.NewNotExecuted(answer.CodeKey, "the route needs a key")
-	}
-	if !route.AuthExempt {
+	if !route.AuthExempt && route.Fault == "" {
+		key := s.Dialect.KeyOf(q.Header)
+		if key == "" {
+			return q, answer.NewNotExecuted(answer.CodeKey, "the route needs a key")
+		}
 		q.key = config.KeyDigest(key)
 	}
 	account, err := tree.Authorize(route, q.key)
