decimal: compare a whole number without big arithmetic

Sign made a big.Int for each whole number, also for those of the load header, which every response of a target has. Found in the last read of the change; no behaviour changes.

--- a/node/decimal/number.go
+++ b/node/decimal/number.go
@@ -2,6 +2,7 @@
 package decimal
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -92,7 +93,7 @@
 	if n.exact != nil {
 		return n.exact.Sign()
 	}
-	return big.NewInt(n.whole).Sign()
+	return cmp.Compare(n.whole, 0)
 }
 
 // Rat returns the exact number, which the caller may change.
